--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -517,7 +517,7 @@
                 room -= self._rewrite(one, orders) if one.wanted else 0.0
         if self._may_push():
             room = min(room, self.terms.pending_max * ORDINARY_PART / each - waiting / each - head)
-            if self.levels_due and room > len(self.slices):
+            if self.levels_due and room > 1:
                 room -= self._order_levels(orders)
             for one in self.slices:
                 if one.wanted and one.wanted != one.lines and room > len(one.wanted) + len(one.lines):
@@ -575,7 +575,7 @@
         """Trying again, for all slices: only after a first try that never ran, so no effect comes twice."""
         self.levels_due = False
         orders.append(self._level(None, tuple(range(len(self.terms.methods))), 1.0))
-        return float(len(self.slices))
+        return 1.0
 
     def _level(self, one: Optional[Slice], methods: tuple[int, ...], part: float) -> SetLevel:
         return SetLevel(methods, one, 1e9 if self.terms.levels == "rps" else part, Retry.NEVER_RAN)
@@ -608,8 +608,6 @@
         self.pushed_at = self.now
         self.pushes.append(self.now)
         lines = len(orders) + self.terms.head_lines + 1
-        if any(isinstance(order, SetLevel) for order in orders):
-            lines += len(self.slices)
         if not self.terms.sliced:
             lines += len(self.backends)
         self.flight.append((self.seal, lines, dict(self.proxies), self.now))
