Heat by each report's own span; silence counts by the longest span heard (horizon)

Cause: at size a report line comes every few periods, so heat halved in each period without one, backends counted as unheard and the dry count ran on. Covers late reports and low intake; harm: after a long gap silence is believed late.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -44,8 +44,9 @@
 WORTH_MOVING = 0.05         # of a violator's heat: a cooler slice would only use up a destination
 COLD_KEYS = 2.0             # times a moved slice's heat, on its new server
 UNSEEN_PART = 0.5           # of the mean heat: room on a backend easing in, before any RPC is seen to go well
-UNHEARD_AFTER = 3.0         # report periods
-SETTLED_AFTER = 6.0         # report periods: older moves show in reports
+UNHEARD_AFTER = 3.0         # horizons of the reports
+SETTLED_AFTER = 3.0         # horizons: older moves show in reports
+HORIZON_FADES = 0.95        # each period
 ORDINARY_PART = 0.5         # of the channel's queue; the rest is kept for rule-bound changes
 URGENT_PART = 0.9
 LADDER = ((1.0, 1.0), (0.6, 1.0), (0.3, 1.0), (0.1, 0.9), (0.0, 0.7))  # least criticality, others
@@ -74,6 +75,7 @@
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at: Optional[float] = 0.0 if terms.news_on_request else None
         self.levels_due, self.untold = True, False  # untold: who joined has missed the withdrawals
+        self.horizon = terms.report_every           # the longest span that a report covered of late
         self.good = 1.0                             # part of all tries that goes well
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
@@ -146,20 +148,24 @@
 
     def _note_tries(self, report: TriesReport) -> None:
         backend, ok = report.backend, max(report.total - report.aborted, 0)
+        self.horizon = max(self.horizon, report.span)
         backend.ok += ok
         backend.aborted += report.aborted
         backend.took_sum += ok * report.took
 
     def _note_heat(self, report: SliceHeat) -> None:
         rank = self.terms.methods[report.method].criticality > self.least
-        report.slice.asked += report.total
-        report.slice.let_in += report.total * LADDER[report.slice.step][rank]
-        report.slice.span = max(report.slice.span, report.span)
+        one = report.slice
+        one.let_in += report.total * LADDER[one.step][rank]
+        rate = report.total / max(report.span, 1.0)
+        one.rates[report.method] = (one.rates.get(report.method, (rate, 0.0))[0] + rate) / 2, self.now
+        self.horizon = max(self.horizon, report.span)
 
     def _note_lease(self, event: Leased) -> None:
         one = event.slice
         self.plan.pop(one, None)
         one.held, one.lines, one.owner, one.wanted, one.heat, one.step = event.given, {}, None, {}, None, 0
+        one.rates.clear()
         self.slices.pop(one, None)
         if event.given:
             self.slices[one], self.levels_due = None, True
@@ -223,15 +229,16 @@
 
     def _fold(self) -> None:
         """Takes in a period's reports: heat of slices, ratios of backends, who is sick."""
-        heard = any(one.span for one in self.slices)
+        self.horizon = max(self.horizon * HORIZON_FADES, self.terms.report_every)
         for one in self.slices:
-            if heard:
-                rate = one.asked / one.span if one.span else 0.0
-                one.heat = (one.heat + rate) / 2 if one.heat else rate
-            if one.moved_at is None or self.now - one.moved_at > SETTLED_AFTER * self.terms.report_every:
+            for method, (rate, at) in one.rates.items():    # silence means no RPC only where lines get in
+                if self.now - at > UNHEARD_AFTER * self.horizon:
+                    one.rates[method] = rate / 2, self.now - self.horizon
+            one.heat = sum(rate for rate, _ in one.rates.values()) if one.rates else one.heat
+            if one.moved_at is None or self.now - one.moved_at > SETTLED_AFTER * self.horizon:
                 for backend, part in self._parts(one).items():
                     backend.asked += one.let_in * part
-            one.asked = one.let_in = one.span = 0.0
+            one.let_in = 0.0
         for backend in self.backends:
             self._measure(backend)
         self._weigh()
@@ -250,7 +257,7 @@
                 backend.lows.pop()
             backend.lows.append((self.now, took))
             backend.ratio, backend.heard_at = took / max(backend.lows[0][1], 1e-3), self.now
-        elif self.now - (backend.heard_at or 0.0) > UNHEARD_AFTER * self.terms.report_every:
+        elif self.now - (backend.heard_at or 0.0) > UNHEARD_AFTER * self.horizon:
             backend.ratio = None
         backend.outcomes.add(0.0, backend.ok)
         backend.outcomes.add(1.0, backend.aborted)
@@ -307,7 +314,7 @@
                     max(m.deadline for m in self.terms.methods)]
         sick = [b for b in opened if not self._crowded(b)
                 and judged.get(b, 0.0) >= (mark if b.ok and b.ratio <= QUICK else ALL_BAD)
-                or b.dry >= DRY_LEAST and self.now - (b.heard_at or 0.0) > patience[self._crowded(b)]]
+                or b.dry >= DRY_LEAST and self.now - (b.heard_at or 0.0) > max(patience[self._crowded(b)], 2 * self.horizon)]
         ready = [b for b in self.backends if b.phase is Phase.READY]
         if len(sick) + sum(not self._open(b) for b in ready) > SICK_MOST * len(ready):
             return      # when most look sick the view is bad, not the fleet
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -105,9 +105,8 @@
     rests_until: float = 0.0
     moved_at: Optional[float] = None
     heat: Optional[float] = None               # RPCs a millisecond
-    asked: float = 0.0
+    rates: dict = field(default_factory=dict)  # method -> RPCs a millisecond, and when last heard
     let_in: float = 0.0
-    span: float = 0.0
     step: int = 0                              # present state: its rung on the ladder of levels
 
 
