--- /dev/null
+++ b/lifthinge/channel.py
@@ -0,0 +1,51 @@
+"""The books of a channel to many proxies: which seals are out, who has not confirmed them, how many lines wait.
+
+>>> books = Channel()
+>>> books.sent(1, 10.0, ["p", "q"], 0.0)
+>>> books.confirmed(1, "p"); books.waiting(), books.unconfirmed()
+(10.0, 1)
+>>> books.confirmed(1, "q"); books.waiting(), books.unconfirmed()
+(0.0, 0)
+"""
+from collections import deque
+from typing import Hashable, Iterable
+
+
+class Channel:
+    """Messages by seal, oldest first; one that all have confirmed is off the books."""
+
+    __slots__ = ("flight", "pushes", "pushed_at")
+
+    def __init__(self) -> None:
+        self.flight: deque[tuple[int, float, dict[Hashable, None], float]] = deque()
+        self.pushes: deque[float] = deque()         # times of the pushes not yet forgotten
+        self.pushed_at = float("-inf")
+
+    def sent(self, seal: int, lines: float, receivers: Iterable[Hashable], now: float) -> None:
+        """Books one message of so many lines to each receiver."""
+        self.flight.append((seal, lines, dict.fromkeys(receivers), now))
+        self.pushes.append(now)
+        self.pushed_at = now
+
+    def confirmed(self, seal: int, receiver: Hashable) -> None:
+        """One receiver has answered a seal, and so all before it."""
+        for number, _, missing, _ in self.flight:
+            if number <= seal:
+                missing.pop(receiver, None)
+        while len(self.flight) > 1 and not self.flight[0][2]:
+            self.flight.popleft()
+
+    def forget(self, sent_before: float, pushed_before: float) -> None:
+        """Takes off the books what is that old, confirmed or not."""
+        while self.flight and self.flight[0][3] < sent_before:
+            self.flight.popleft()
+        while self.pushes and self.pushes[0] <= pushed_before:
+            self.pushes.popleft()
+
+    def waiting(self) -> float:
+        """Lines that may still wait: all that no confirmation covers."""
+        return sum(lines * len(missing) for _, lines, missing, _ in self.flight)
+
+    def unconfirmed(self) -> int:
+        """How many receivers have not confirmed the last seal."""
+        return len(self.flight[-1][2]) if self.flight else 0
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -5,11 +5,11 @@
 effect in their order. The types at this door are in `lifthinge/interface.py`; why things are as they
 are is in `docs/design.md`. Nothing here reads a clock, a file or the network.
 """
-from collections import deque
 from random import Random
 from statistics import median
 from typing import Iterable, Optional
 
+from lifthinge.channel import Channel
 from lifthinge.histogram import Histogram
 from lifthinge.interface import (
     Backend, BindProxy, Event, FleetNews, FollowList, Form, Leased, Order, Phase, Proxy, ProxyJoined,
@@ -31,8 +31,9 @@
 STEPS = ((0.0, 0.25), (0.2, 0.4), (0.4, 0.6), (0.6, 0.8), (1.0, 1.0))   # part of warm-up: share of heat
 TRIAL, TRIAL_LEAST = 0.05, 2.0  # the part of one that was shut, until so many tries of late went well
 NEAR = 0.02                 # of a step is as good as the step
-SPARES = 2                  # standby lines of a slice
-SPARE_WEIGHT = 0.001        # of the owner's; each next one's is this part of the last
+SPARE_WEIGHT = 0.001        # of the owner's: a standby line's, or less
+WEIGHT_MOST = 1e8           # over it a table is written anew
+SPARE_LIKED = 0.7           # a displaced slice takes its spare for so much less crowded: that costs no line
 BAD_SHARE = 0.3             # of tries gone wrong: a backend is sick...
 BAD_OVER_MEDIAN = 3.0       # ...if that is also this many times the median share
 ALL_BAD = 0.95              # a slow or silent backend is sick if so many go wrong
@@ -82,10 +83,9 @@
         self.rungs: dict[int, int] = {}             # zone: place on the ladder
         self.plan: dict[Slice, Backend] = {}        # moves that still run: slice to former owner
         self.seal = 0
-        self.flight: deque[tuple[int, float, dict[Proxy, None], float]] = deque()
-        self.pushed_at = -PUSH_AFTER
-        self.pushes: deque[float] = deque()
+        self.channel = Channel()
         self.said: list[Order] = []
+        self.owed: list[Slice] = []                 # tables to be written, in order of worth
         if not terms.sliced:
             self.slices[Slice(0, held=True)] = None
 
@@ -165,6 +165,7 @@
         one = event.slice
         self.plan.pop(one, None)
         one.held, one.lines, one.owner, one.wanted, one.heat, one.step = event.given, {}, None, {}, None, 0
+        one.owed = []
         one.rates.clear()
         self.slices.pop(one, None)
         if event.given:
@@ -176,14 +177,10 @@
         if one.held and event.weight > 0:
             self._meet(event.backend)
             one.lines[event.backend] = event.weight
-            one.owner = max(one.lines, key=one.lines.get)
+            one.owner = max(one.lines, key=lambda b: (b.phase is Phase.READY, one.lines[b]))
 
     def _note_seal(self, event: SealConfirmed) -> None:
-        for number, _, missing, _ in self.flight:
-            if number <= event.seal:
-                missing.pop(event.proxy, None)
-        while len(self.flight) > 1 and not self.flight[0][2]:
-            self.flight.popleft()
+        self.channel.confirmed(event.seal, event.proxy)
 
     # What it means.
 
@@ -249,14 +246,11 @@
 
     def _measure(self, backend: Backend) -> None:
         """A report's latency over the backend's own lowest of the last minute, and its outcomes."""
-        while backend.lows and backend.lows[0][0] < self.now - LOW_SPAN:
-            backend.lows.popleft()
+        backend.lows.forget(self.now - LOW_SPAN)
         if backend.ok:
-            took = backend.took = backend.took_sum / backend.ok
-            while backend.lows and backend.lows[-1][1] >= took:
-                backend.lows.pop()
-            backend.lows.append((self.now, took))
-            backend.ratio, backend.heard_at = took / max(backend.lows[0][1], 1e-3), self.now
+            backend.took = backend.took_sum / backend.ok
+            backend.lows.add(self.now, backend.took)
+            backend.ratio, backend.heard_at = backend.took / max(backend.lows.value(), 1e-3), self.now
         elif self.now - (backend.heard_at or 0.0) > UNHEARD_AFTER * self.horizon:
             backend.ratio = None
         backend.outcomes.add(0.0, backend.ok)
@@ -398,7 +392,7 @@
     def _cancel(self) -> None:
         """Drops the moves that have not been sent and lets the system cool off."""
         for one, former in self.plan.items():
-            if one.lines != one.wanted and self._usable(former):
+            if one.owed and self._usable(former):
                 one.owner, one.rests_until = former, 0.0
         self.plan.clear()
         self.cool_until = self.now + COOL_OFF
@@ -436,6 +430,7 @@
         if not self.terms.sliced:
             for one in self.slices:
                 one.wanted = {b: b.size * self._share(b) for b in self.backends if self._open(b)} or one.lines
+            self._list_owed()
             return
         self._weigh()
         ready = [b for b in self.backends if b.phase is Phase.READY]
@@ -450,51 +445,82 @@
             one.owner = self._refuge(one, usable)
             one.owner.heat += one.heat
             one.owner.home_heat += one.heat
+        warm = [b for b in usable if self._share(b) >= 1]
         for one in self.slices:
-            one.wanted = self._lines(one, usable)
-
-    def _lines(self, one: Slice, usable: list[Backend]) -> dict[Backend, float]:
-        """A slice's table: its owner by the part it may have, the first spare the rest, the next a trace."""
+            one.wanted = self._lines(one, warm)
+        self._list_owed()
+
+    def _lines(self, one: Slice, warm: list[Backend]) -> dict[Backend, float]:
+        """What part of a slice's RPCs goes where: to its owner what it may have, the rest to the spare."""
+        spare = None if self.terms.one_owner else self._spare(one, warm)
+        if spare is None:
+            return {one.owner: 1.0}
+        spare.spare_heat += one.heat
         part = self._part(one.owner)
-        spares = [] if self.terms.one_owner else self._spares(one, usable)
-        lines = {one.owner: part if spares else 1.0} if part or not spares else {}
-        for rank, spare in enumerate(spares, 1):
-            lines[spare] = SPARE_WEIGHT ** rank if rank > 1 else max(1.0 - part, SPARE_WEIGHT)
-            spare.spare_heat += one.heat / rank
-        return lines
+        return {one.owner: part, spare: 1.0 - part} if part else {spare: 1.0}
 
     def _refuge(self, one: Slice, usable: list[Backend]) -> Backend:
         """Where a slice goes that lost its backend: the least crowded; cold ones only within their room."""
         roomy = [b for b in usable if self._room(b, one)]
         roomy = roomy or [b for b in usable if self._share(b) >= 1] or usable
-        return min([b for b in roomy if not b.strikes] or roomy,
-                   key=lambda b: (b.heat + one.heat) / (b.size * self._share(b)))
-
-    def _spares(self, one: Slice, usable: list[Backend]) -> list[Backend]:
-        """Standby lines in other zones, so that a proxy that loses the owner has somewhere to go unasked."""
-        warm = [b for b in usable if self._share(b) >= 1 and b is not one.owner]
-        chosen: list[Backend] = []
-        while len(chosen) < SPARES and len(chosen) < len(warm):
-            zones = [one.owner.zone] + [b.zone for b in chosen]
-            rest = [b for b in warm if b not in chosen]
-            chosen.append(min(rest, key=lambda b: (
-                b.zone in zones, -one.lines.get(b, 0.0), (b.heat + b.spare_heat) / b.size)))
-        return chosen
+        return min([b for b in roomy if not b.strikes] or roomy, key=lambda b: (
+            (b.heat + one.heat) / (b.size * self._share(b)) * (SPARE_LIKED if b in one.lines else 1.0)))
+
+    def _spare(self, one: Slice, warm: list[Backend]) -> Optional[Backend]:
+        """A standby line, so that a proxy that loses the owner has somewhere to go unasked.
+
+        One that the table has is as good as any; else one in another zone, as little burdened as may be.
+        """
+        had = [b for b in one.lines if b is not one.owner and self._usable(b) and self._share(b) >= 1]
+        if had:
+            return max(had, key=lambda b: (not b.strikes, one.lines[b]))
+        return min((b for b in warm if b is not one.owner), default=None, key=lambda b: (
+            b.zone == one.owner.zone, b.strikes > 0, (b.heat + b.spare_heat) / b.size))
+
+    def _owe(self, one: Slice) -> list[SetLine]:
+        """The fewest lines that bring a table to what is wanted: a message goes to every proxy.
+
+        Other lines that are a trace beside the main one stay, and so do lines of whoever is not listed as ready.
+        """
+        want, have = one.wanted, one.lines
+        if not self.terms.sliced or self.terms.one_owner:
+            stale = () if self.terms.one_owner else [b for b in have if b not in want]
+            return [SetLine(one, b, w) for b, w in want.items() if have.get(b) != w] + [
+                SetLine(one, b, 0.0) for b in stale]
+        main = max(want, key=want.get)
+        stale = max((w for b, w in have.items() if b not in want and b.phase is Phase.READY), default=0.0)
+        top = have.get(main, 0.0)
+        if top * SPARE_WEIGHT < stale / 2 or not top:
+            top = max(stale, *have.values(), 1.0) / SPARE_WEIGHT if have else 1.0
+        if top > WEIGHT_MOST:
+            return [SetLine(one, b, max(w / want[main], SPARE_WEIGHT)) for b, w in want.items()] + [
+                SetLine(one, b, 0.0) for b in have if b not in want]
+        owed = []
+        for backend, part in want.items():
+            weight, present = max(part / want[main], SPARE_WEIGHT), have.get(backend, 0.0) / top
+            if not present or abs(present - weight) > NEAR * (weight > SPARE_WEIGHT) + SPARE_WEIGHT:
+                owed.append(SetLine(one, backend, weight * top))
+        return owed
 
     # From wanted to present.
 
-    def _pending(self) -> float:
-        """Lines that may still wait in the channel: all that no confirmation covers."""
-        old = self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate
-        while self.flight and self.flight[0][3] < old:
-            self.flight.popleft()
-        return sum(lines * len(missing) for _, lines, missing, _ in self.flight)
+    def _list_owed(self) -> None:
+        """Who is owed what, in order of worth: a main line before a standby line, the hottest first."""
+        self.owed = []
+        for one in self.slices:
+            one.owed = self._owe(one) if one.wanted else []
+            if one.owed:
+                main = max(one.wanted, key=one.wanted.get)
+                one.shifts = any(o.backend is main or one.wanted.get(o.backend, 0.0) > NEAR for o in one.owed)
+                self.owed.append(one)
+        self.owed.sort(key=lambda s: (not s.shifts, -(s.heat or 0.0)))
 
     def _may_push(self) -> bool:
-        if (self.flight and self.now - self.pushed_at < PUSH_AFTER
-                and len(self.flight[-1][2]) > MOST * len(self.proxies)):
+        if (self.now - self.channel.pushed_at < PUSH_AFTER
+                and self.channel.unconfirmed() > MOST * len(self.proxies)):
             return False
-        return not self.terms.pushes_allowed or len(self.pushes) < ORDINARY_PART * self.terms.pushes_allowed
+        most = self.terms.pushes_allowed
+        return not most or len(self.channel.pushes) < ORDINARY_PART * most
 
     def _emit(self) -> list[Order]:
         """Orders the difference between the wanted and the present state, as the channel allows.
@@ -503,12 +529,12 @@
         rest waits until most proxies have confirmed the last seal.
         """
         orders: list[Order] = []
-        waiting, each = self._pending(), max(len(self.proxies), 1)
+        self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
+                            self.now - self.terms.update_window)
+        waiting, each = self.channel.waiting(), max(len(self.proxies), 1)
         head = self.terms.head_lines + 1
         room = self.terms.pending_max * URGENT_PART / each - waiting / each - head
-        while self.pushes and self.pushes[0] <= self.now - self.terms.update_window:
-            self.pushes.popleft()
-        if self.terms.pushes_allowed and len(self.pushes) >= self.terms.pushes_allowed:
+        if self.terms.pushes_allowed and len(self.channel.pushes) >= self.terms.pushes_allowed:
             room = 0.0
         for backend in self.backends:
             if room > 1 and not backend.shut_out and self._must_out(backend):
@@ -518,22 +544,24 @@
                 orders.append(ShutOut(backend, True))   # a late joiner has missed it
                 room -= 1
         self.untold = False
-        for one in self.slices:
-            # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given.
-            if room > len(one.wanted) and one.wanted != one.lines and all(b.shut_out for b in one.lines):
-                room -= self._rewrite(one, orders) if one.wanted else 0.0
+        if self.dirty:
+            self._want()
+        # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given. Where not
+        # all fit, a push is worth its head or waits.
+        bare = [one for one in self.owed if all(b.shut_out for b in one.lines)]
+        if bare and room > min(sum(len(one.owed) for one in bare), head):
+            room = self._pay(bare, room, orders)
         if self._may_push():
             room = min(room, self.terms.pending_max * ORDINARY_PART / each - waiting / each - head)
             if self.levels_due and room > 1:
                 room -= self._order_levels(orders)
+            if orders or room > min(sum(len(one.owed) for one in self.owed), head):
+                room = self._pay(self.owed, room, orders)
             for one in self.slices:
-                if one.wanted and one.wanted != one.lines and room > len(one.wanted) + len(one.lines):
-                    room -= self._rewrite(one, orders)
                 if self._rung(one) != one.step and room > len(self.terms.methods):
                     room -= self._order_step(one, orders)
         for backend in self.backends:
-            if backend.shut_out and room > 1 and self._open(backend) and all(
-                    s.lines.get(backend) == s.wanted.get(backend) for s in self.slices):
+            if backend.shut_out and room > 1 and self._open(backend) and not self._over(backend):
                 room -= self._let_in(backend, orders)
         if not self.terms.sliced:
             self._bind(orders)
@@ -547,12 +575,22 @@
         """Not open, or freshly started while tables still name it as if it were warm."""
         if backend.phase is not Phase.READY:
             return True
-        if self._open(backend) and (self._share(backend) > STEPS[0][1] or not any(
-                one.lines.get(backend, 0.0) > one.wanted.get(backend, 0.0) for one in self.slices)):
+        if self._open(backend) and (self._share(backend) > STEPS[0][1] or not self._over(backend)):
             return False
         return all(any(not b.shut_out and b is not backend for b in one.wanted)
                    for one in self.slices if backend in one.wanted)
 
+    def _over(self, backend: Backend) -> bool:
+        """Whether some table gives a backend more than is wanted, or would, were it let in."""
+        for one in self.slices:
+            if backend in one.lines:
+                weight = one.lines[backend]
+                beside = sum(w for b, w in one.lines.items() if b is not backend and not b.shut_out)
+                if weight / (weight + beside) > one.wanted.get(backend, 0.0) / (
+                        sum(one.wanted.values()) or 1.0) + NEAR:
+                    return True
+        return False
+
     def _withdraw(self, backend: Backend, orders: list[Order]) -> float:
         backend.shut_out = True
         orders.append(ShutOut(backend, True))
@@ -567,16 +605,24 @@
         orders.append(ShutOut(backend, False))
         return 1.0
 
-    def _rewrite(self, one: Slice, orders: list[Order]) -> float:
-        """Brings one table from its present lines to the wanted ones."""
-        before = len(orders)
-        orders += [SetLine(one, b, w) for b, w in one.wanted.items() if one.lines.get(b) != w]
-        if not self.terms.one_owner:
-            orders += [SetLine(one, b, 0.0) for b in one.lines if b not in one.wanted]
-        if any(abs(one.lines.get(b, 0.0) - one.wanted.get(b, 0.0)) > SPARE_WEIGHT for b in one.wanted):
-            one.moved_at = self.now
-        one.lines = dict(one.wanted)
-        return len(orders) - before
+    def _pay(self, owed: list[Slice], room: float, orders: list[Order]) -> float:
+        """Writes the lines that tables are owed, as far as there is room."""
+        for one in owed:
+            if not one.owed or room <= len(one.owed):
+                continue
+            room -= len(one.owed)
+            orders += one.owed
+            if one.shifts:
+                one.moved_at = self.now
+            for order in one.owed:
+                if self.terms.one_owner:
+                    one.lines.clear()
+                one.lines[order.backend] = order.weight
+                if not order.weight:
+                    del one.lines[order.backend]
+            one.owed = []
+        self.owed = [one for one in self.owed if one.owed]
+        return room
 
     def _order_levels(self, orders: list[Order]) -> float:
         """Trying again, for all slices: only after a first try that never ran, so no effect comes twice."""
@@ -612,17 +658,15 @@
     def _close(self, orders: list[Order]) -> None:
         """Seals a push and books its lines until they are confirmed."""
         self.seal = self.seal % 65_000 + 1
-        self.pushed_at = self.now
-        self.pushes.append(self.now)
         lines = len(orders) + self.terms.head_lines + 1
         if not self.terms.sliced:
             lines += len(self.backends)
-        self.flight.append((self.seal, lines, dict(self.proxies), self.now))
+        self.channel.sent(self.seal, lines, self.proxies, self.now)
         orders.append(Seal(self.seal))
 
     def _set_plan(self) -> None:
         """A plan has run once its tables were sent and most proxies confirmed them."""
-        if self.plan and all(one.lines == one.wanted for one in self.plan) and self._may_push():
+        if self.plan and not any(one.owed for one in self.plan) and self._may_push():
             self.plan.clear()
 
     def _timers(self, orders: list[Order]) -> None:
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -5,12 +5,12 @@
 milliseconds. Backends, slices and proxies are objects that the adapter makes once for each instance;
 their ids mean nothing to the decisions.
 """
-from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import Any, Optional, Union
 
 from lifthinge.histogram import Histogram
+from lifthinge.lowest import Lowest
 
 
 class Phase(Enum):
@@ -73,7 +73,7 @@
     size: float = 1.0
     # working memory
     shut_out: bool = False                     # present state: withdrawn from the joined proxies
-    lows: deque = field(default_factory=deque)
+    lows: Lowest = field(default_factory=Lowest)
     ratio: Optional[float] = None
     heard_at: Optional[float] = None
     strikes: int = 0
@@ -101,7 +101,9 @@
     held: bool = False
     lines: dict = field(default_factory=dict)  # present state: backend -> weight
     owner: Optional[Backend] = None
-    wanted: dict = field(default_factory=dict)
+    wanted: dict = field(default_factory=dict)  # backend -> part of the slice's RPCs
+    owed: list = field(default_factory=list)   # lines that bring the present state to the wanted one
+    shifts: bool = False                       # whether those shift RPCs, or only stand by
     rests_until: float = 0.0
     moved_at: Optional[float] = None
     heat: Optional[float] = None               # RPCs a millisecond
