--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -50,8 +50,9 @@
 HORIZON_FADES = 0.95        # each period
 ORDINARY_PART = 0.5         # of the channel's queue; the rest is kept for rule-bound changes
 URGENT_PART = 0.9
-LADDER = ((1.0, 1.0), (0.6, 1.0), (0.3, 1.0), (0.1, 0.9), (0.0, 0.7))  # least criticality, others
-STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: a rung up, a rung down
+STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
+LEVEL_EVERY = 1.0           # horizons: what a level does must show in reports before the next
+LET_CUT, LET_STEP, LET_LEAST = (0.7, 0.8), 0.1, 0.35    # of what is let in: times what goes well, within; back by
 SLOWEST = 6.0               # the channel may send so many times slower; older lines are out for sure
 WRONG = 0.5                 # edge of the outcomes: 0 went well, 1 went wrong
 DRY_LEAST = 8.0             # RPCs asked with none going well for the longest soft deadline: it hangs
@@ -78,9 +79,11 @@
         self.levels_due, self.untold = True, False  # untold: who joined has missed the withdrawals
         self.horizon = terms.report_every           # the longest span that a report covered of late
         self.good = 1.0                             # part of all tries that goes well
+        self.low_part = sum(m.criticality <= self.least for m in terms.methods) / len(terms.methods)
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
-        self.rungs: dict[int, int] = {}             # zone: place on the ladder
+        self.let: dict[int, float] = {}             # zone: part of what is asked that is let in
+        self.let_at: dict[int, float] = {}          # zone: when that was last changed
         self.plan: dict[Slice, Backend] = {}        # moves that still run: slice to former owner
         self.seal = 0
         self.channel = Channel()
@@ -156,7 +159,7 @@
     def _note_heat(self, report: SliceHeat) -> None:
         rank = self.terms.methods[report.method].criticality > self.least
         one = report.slice
-        one.let_in += report.total * LADDER[one.step][rank]
+        one.let_in += report.total * one.levels[rank]
         rate = report.total / max(report.span, 1.0)
         one.rates[report.method] = (one.rates.get(report.method, (rate, 0.0))[0] + rate) / 2, self.now
         self.horizon = max(self.horizon, report.span)
@@ -164,7 +167,7 @@
     def _note_lease(self, event: Leased) -> None:
         one = event.slice
         self.plan.pop(one, None)
-        one.held, one.lines, one.owner, one.wanted, one.heat, one.step = event.given, {}, None, {}, None, 0
+        one.held, one.lines, one.owner, one.wanted, one.heat, one.levels = event.given, {}, None, {}, None, (1.0, 1.0)
         one.owed = []
         one.rates.clear()
         self.slices.pop(one, None)
@@ -277,11 +280,14 @@
             here = [b for b in self.backends if b.zone == zone and b.ok]
             stress = sum(b.took_sum for b in here) / sum(b.ok for b in here) / self.soft
             stress = self.stress[zone] = (self.stress.get(zone, 0.0) + stress) / 2
-            rung = self.rungs.get(zone, 0)
+            let = self.let.setdefault(zone, 1.0)
+            well = sum(b.ok for b in here) / sum(b.ok + b.aborted for b in here)
             if stress > STRESS_HIGH:
-                self.rungs[zone] = min(rung + 1, len(LADDER) - 1)
-            elif stress < STRESS_LOW:
-                self.rungs[zone] = max(rung - 1, 0)
+                self.let[zone] = max(let * min(max(well, LET_CUT[0]), LET_CUT[1]), LET_LEAST)
+            elif stress < STRESS_LOW and self.now - self.let_at.get(zone, 0.0) > LEVEL_EVERY * self.horizon:
+                self.let[zone] = min(let + LET_STEP, 1.0)
+            if self.let[zone] != let:
+                self.let_at[zone] = self.now
 
     def _judge_ratios(self) -> None:
         mark = VIOLATOR_MARK * self._median()
@@ -558,7 +564,7 @@
             if orders or room > min(sum(len(one.owed) for one in self.owed), head):
                 room = self._pay(self.owed, room, orders)
             for one in self.slices:
-                if self._rung(one) != one.step and room > len(self.terms.methods):
+                if self._levels(one) != one.levels and room > len(self.terms.methods):
                     room -= self._order_step(one, orders)
         for backend in self.backends:
             if backend.shut_out and room > 1 and self._open(backend) and not self._over(backend):
@@ -633,21 +639,26 @@
     def _level(self, one: Optional[Slice], methods: tuple[int, ...], part: float) -> SetLevel:
         return SetLevel(methods, one, 1e9 if self.terms.levels == "rps" else part, Retry.NEVER_RAN)
 
-    def _rung(self, one: Slice) -> int:
-        """The rung of its owner's zone; a slice whose own backend is calm lets all in."""
-        if self.terms.levels != "ratio" or one.owner is None:
-            return 0
-        return self.rungs.get(one.owner.zone, 0) if self._crowded(one.owner) else 0
+    def _levels(self, one: Slice) -> tuple[float, float]:
+        """What is let in of the least criticality, which gives way first, and of the others.
+
+        It follows its owner's zone; a slice whose own backend is calm lets all in.
+        """
+        if self.terms.levels != "ratio" or one.owner is None or not self._crowded(one.owner):
+            return 1.0, 1.0
+        cut = 1.0 - self.let.get(one.owner.zone, 1.0)
+        low = min(self.low_part, 1.0 - 1e-9)
+        return (round(max(1.0 - cut / max(low, 1e-9), 0.0), 1),
+                round(1.0 - max(cut - low, 0.0) / (1.0 - low), 1))
 
     def _order_step(self, one: Slice, orders: list[Order]) -> float:
-        """A slice's levels follow its owner's zone; the methods of least criticality give way first."""
-        former, one.step = one.step, self._rung(one)
+        former, one.levels = one.levels, self._levels(one)
         before = len(orders)
         for rank in (0, 1):
             methods = tuple(
                 k for k, m in enumerate(self.terms.methods) if (m.criticality > self.least) == bool(rank))
-            if methods and LADDER[former][rank] != LADDER[one.step][rank]:
-                orders.append(self._level(one, methods, LADDER[one.step][rank]))
+            if methods and former[rank] != one.levels[rank]:
+                orders.append(self._level(one, methods, one.levels[rank]))
         return len(orders) - before
 
     def _bind(self, orders: list[Order]) -> None:
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -109,7 +109,7 @@
     heat: Optional[float] = None               # RPCs a millisecond
     rates: dict = field(default_factory=dict)  # method -> RPCs a millisecond, and when last heard
     let_in: float = 0.0
-    step: int = 0                              # present state: its rung on the ladder of levels
+    levels: tuple = (1.0, 1.0)                 # present state: let in of the least criticality, and of others
 
 
 @dataclass(eq=False, slots=True)
