--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -15,6 +15,7 @@
     Backend, BindProxy, Event, FleetNews, FollowList, Form, Leased, Order, Phase, Proxy, ProxyJoined,
     ProxyLeft, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut, SiteTerms, Slice, SliceHeat,
     StoredLine, TriesReport, Wake)
+from lifthinge.tables import bare, part_if_in, parts
 
 # The mechanism, as the design page settles it.
 VIOLATOR_MARK = 1.5         # times the median ratio
@@ -51,8 +52,8 @@
 ORDINARY_PART = 0.5         # of the channel's queue; the rest is kept for rule-bound changes
 URGENT_PART = 0.9
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
-LEVEL_EVERY = 1.0           # horizons: what a level does must show in reports before the next
-LET_CUT, LET_STEP, LET_LEAST = (0.7, 0.8), 0.1, 0.35    # of what is let in: times what goes well, within; back by
+LET_CUT = 0.7, 0.8          # less is let in: times the part that goes well, within these
+LET_STEP, LET_LEAST = 0.1, 0.35     # back by so much each horizon, when it shows in reports; never less
 SLOWEST = 6.0               # the channel may send so many times slower; older lines are out for sure
 WRONG = 0.5                 # edge of the outcomes: 0 went well, 1 went wrong
 DRY_LEAST = 8.0             # RPCs asked with none going well for the longest soft deadline: it hangs
@@ -66,20 +67,23 @@
         self.terms = terms
         self.dice = Random(seed)
         self.soft = min(m.soft_deadline for m in terms.methods)
-        self.least = min(m.criticality for m in terms.methods)
+        least = min(m.criticality for m in terms.methods)
+        self.ranks = [tuple(k for k, m in enumerate(terms.methods) if (m.criticality > least) == high)
+                      for high in (False, True)]
         self.backends: dict[Backend, None] = {}     # every one ever listed or named by the store
         self.slices: dict[Slice, None] = {}         # in this instance's charge
         self.proxies: dict[Proxy, None] = {}        # joined
-        self.notes = {FleetNews: self._note_fleet, ProxyJoined: self._note_join, ProxyLeft: self._note_leave,
-                      TriesReport: self._note_tries, SliceHeat: self._note_heat, Leased: self._note_lease,
-                      StoredLine: self._note_line, SealConfirmed: self._note_seal}
+        self.notes = {  # what waits for a proxy that left counts until it is out for sure
+            FleetNews: self._note_fleet, ProxyJoined: self._note_join, TriesReport: self._note_tries,
+            SliceHeat: self._note_heat, Leased: self._note_lease, StoredLine: self._note_line,
+            ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
+            SealConfirmed: lambda event: self.channel.confirmed(event.seal, event.proxy)}
         self.dirty = True
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at: Optional[float] = 0.0 if terms.news_on_request else None
         self.levels_due, self.untold = True, False  # untold: who joined has missed the withdrawals
         self.horizon = terms.report_every           # the longest span that a report covered of late
         self.good = 1.0                             # part of all tries that goes well
-        self.low_part = sum(m.criticality <= self.least for m in terms.methods) / len(terms.methods)
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
         self.let: dict[int, float] = {}             # zone: part of what is asked that is let in
@@ -105,8 +109,6 @@
         if now >= self.round_at:
             self.round_at = now + ROUND_EVERY
             self._round()
-        if self.dirty:
-            self._want()
         return self._emit() + self.said
 
     # What is known.
@@ -146,9 +148,6 @@
         self.proxies[event.proxy] = None
         self.untold = True
 
-    def _note_leave(self, event: ProxyLeft) -> None:
-        self.proxies.pop(event.proxy, None)     # what waits for it counts until it is out for sure
-
     def _note_tries(self, report: TriesReport) -> None:
         backend, ok = report.backend, max(report.total - report.aborted, 0)
         self.horizon = max(self.horizon, report.span)
@@ -157,9 +156,8 @@
         backend.took_sum += ok * report.took
 
     def _note_heat(self, report: SliceHeat) -> None:
-        rank = self.terms.methods[report.method].criticality > self.least
         one = report.slice
-        one.let_in += report.total * one.levels[rank]
+        one.let_in += report.total * one.levels[report.method in self.ranks[1]]
         rate = report.total / max(report.span, 1.0)
         one.rates[report.method] = (one.rates.get(report.method, (rate, 0.0))[0] + rate) / 2, self.now
         self.horizon = max(self.horizon, report.span)
@@ -167,9 +165,8 @@
     def _note_lease(self, event: Leased) -> None:
         one = event.slice
         self.plan.pop(one, None)
-        one.held, one.lines, one.owner, one.wanted, one.heat, one.levels = event.given, {}, None, {}, None, (1.0, 1.0)
-        one.owed = []
-        one.rates.clear()
+        one.held, one.lines, one.owner, one.wanted, one.heat = event.given, {}, None, {}, None
+        one.owed, one.rates, one.levels = [], {}, (1.0, 1.0)
         self.slices.pop(one, None)
         if event.given:
             self.slices[one], self.levels_due = None, True
@@ -182,9 +179,6 @@
             one.lines[event.backend] = event.weight
             one.owner = max(one.lines, key=lambda b: (b.phase is Phase.READY, one.lines[b]))
 
-    def _note_seal(self, event: SealConfirmed) -> None:
-        self.channel.confirmed(event.seal, event.proxy)
-
     # What it means.
 
     def _share(self, backend: Backend) -> float:
@@ -221,11 +215,8 @@
     def _usable(self, backend: Backend) -> bool:
         return self._open(backend) and not backend.shut_out
 
-    def _parts(self, one: Slice) -> dict[Backend, float]:
-        """How a slice's RPCs divide over its lines as ordered."""
-        lines = {b: w for b, w in one.lines.items() if not b.shut_out}
-        total = sum(lines.values())
-        return {b: w / total for b, w in lines.items()}
+    def _warm(self, backend: Backend) -> bool:
+        return self._open(backend) and self._share(backend) >= 1
 
     def _fold(self) -> None:
         """Takes in a period's reports: heat of slices, ratios of backends, who is sick."""
@@ -236,7 +227,7 @@
                     one.rates[method] = rate / 2, self.now - self.horizon
             one.heat = sum(rate for rate, _ in one.rates.values()) if one.rates else one.heat
             if one.moved_at is None or self.now - one.moved_at > SETTLED_AFTER * self.horizon:
-                for backend, part in self._parts(one).items():
+                for backend, part in parts(one.lines).items():
                     backend.asked += one.let_in * part
             one.let_in = 0.0
         for backend in self.backends:
@@ -271,11 +262,11 @@
         Against the retry storms in which a crowded fleet stays crowded, whatever began them. It harms where
         RPCs are slow by nature: there the low criticality is pushed back for nothing.
         """
-        tries = sum(b.ok + b.aborted for b in self.backends)
-        self.good = (self.good + (sum(b.ok for b in self.backends) / tries if tries else 1.0)) / 2
-        warm = [b for b in self.backends if self._open(b) and self._share(b) >= 1]
-        fair = sum(b.ok for b in warm) / self.terms.report_every / max(sum(b.size for b in warm), 1e-9)
-        self.fair = (self.fair + fair) / 2
+        warm = [b for b in self.backends if self._warm(b)]
+        tries = max(sum(b.ok + b.aborted for b in self.backends), 1e-9)
+        self.good = (self.good + 1 - sum(b.aborted for b in self.backends) / tries) / 2
+        self.fair = (self.fair + sum(b.ok for b in warm) / self.terms.report_every
+                     / max(sum(b.size for b in warm), 1e-9)) / 2
         for zone in dict.fromkeys(b.zone for b in self.backends if b.ok):
             here = [b for b in self.backends if b.zone == zone and b.ok]
             stress = sum(b.took_sum for b in here) / sum(b.ok for b in here) / self.soft
@@ -284,7 +275,7 @@
             well = sum(b.ok for b in here) / sum(b.ok + b.aborted for b in here)
             if stress > STRESS_HIGH:
                 self.let[zone] = max(let * min(max(well, LET_CUT[0]), LET_CUT[1]), LET_LEAST)
-            elif stress < STRESS_LOW and self.now - self.let_at.get(zone, 0.0) > LEVEL_EVERY * self.horizon:
+            elif stress < STRESS_LOW and self.now - self.let_at.get(zone, 0.0) > self.horizon:
                 self.let[zone] = min(let + LET_STEP, 1.0)
             if self.let[zone] != let:
                 self.let_at[zone] = self.now
@@ -314,7 +305,8 @@
                     max(m.deadline for m in self.terms.methods)]
         sick = [b for b in opened if not self._crowded(b)
                 and judged.get(b, 0.0) >= (mark if b.ok and b.ratio <= QUICK else ALL_BAD)
-                or b.dry >= DRY_LEAST and self.now - (b.heard_at or 0.0) > max(patience[self._crowded(b)], 2 * self.horizon)]
+                or b.dry >= DRY_LEAST
+                and self.now - (b.heard_at or 0.0) > max(patience[self._crowded(b)], 2 * self.horizon)]
         ready = [b for b in self.backends if b.phase is Phase.READY]
         if len(sick) + sum(not self._open(b) for b in ready) > SICK_MOST * len(ready):
             return      # when most look sick the view is bad, not the fleet
@@ -348,9 +340,8 @@
         for violator in violators:
             for one in sorted((s for s in self.slices if s.owner is violator and s.rests_until <= self.now
                                and s.heat >= WORTH_MOVING * violator.heat), key=lambda s: -s.heat):
-                target = self._target(one, violator, middle, used) if budget else None
+                target = self._target(one, violator, middle, used) if len(used) < budget else None
                 if target:
-                    budget -= 1
                     used[target] = None
                     self._move(one, target)
         self._fill(used)
@@ -389,8 +380,7 @@
         self.said.append(Say(
             f"move slice {one.number} of heat {one.heat * 1000:.1f}/s from {one.owner.ep.hex()}"
             f" ({one.owner.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
-        one.owner.heat -= one.heat
-        target.heat += one.heat
+        one.owner.heat, target.heat = one.owner.heat - one.heat, target.heat + one.heat
         target.home_heat += one.heat
         one.owner, one.rests_until = target, self.now + REST
         self.dirty = True
@@ -419,7 +409,7 @@
                 one.heat = sum(known) / len(known) if sum(known) else 1e-3
             if one.owner:
                 one.owner.home_heat += one.heat
-            for backend, part in self._parts(one).items():
+            for backend, part in parts(one.lines).items():
                 backend.heat += one.heat * part
 
     def _room(self, backend: Backend, one: Slice) -> bool:
@@ -436,25 +426,22 @@
         if not self.terms.sliced:
             for one in self.slices:
                 one.wanted = {b: b.size * self._share(b) for b in self.backends if self._open(b)} or one.lines
-            self._list_owed()
             return
         self._weigh()
         ready = [b for b in self.backends if b.phase is Phase.READY]
-        usable = [b for b in ready if self._usable(b)]
+        usable = [b for b in ready if self._usable(b)] or ready
+        for backend in usable:      # whoever runs is better than nobody
+            backend.shut_until = min(backend.shut_until, self.now)
         if not ready:
             return
-        for backend in ready if not usable else ():     # whoever runs is better than nobody
-            backend.shut_until = 0.0
-        usable = usable or ready
-        displaced = [s for s in self.slices if s.owner is None or s.owner.phase is not Phase.READY]
-        for one in sorted(displaced, key=lambda s: -s.heat):
+        for one in sorted((s for s in self.slices if s.owner is None or s.owner.phase is not Phase.READY),
+                          key=lambda s: -s.heat):
             one.owner = self._refuge(one, usable)
             one.owner.heat += one.heat
             one.owner.home_heat += one.heat
         warm = [b for b in usable if self._share(b) >= 1]
         for one in self.slices:
             one.wanted = self._lines(one, warm)
-        self._list_owed()
 
     def _lines(self, one: Slice, warm: list[Backend]) -> dict[Backend, float]:
         """What part of a slice's RPCs goes where: to its owner what it may have, the rest to the spare."""
@@ -477,16 +464,16 @@
 
         One that the table has is as good as any; else one in another zone, as little burdened as may be.
         """
-        had = [b for b in one.lines if b is not one.owner and self._usable(b) and self._share(b) >= 1]
+        had = [b for b in one.lines if b is not one.owner and self._warm(b) and not b.shut_out]
         if had:
             return max(had, key=lambda b: (not b.strikes, one.lines[b]))
         return min((b for b in warm if b is not one.owner), default=None, key=lambda b: (
             b.zone == one.owner.zone, b.strikes > 0, (b.heat + b.spare_heat) / b.size))
 
     def _owe(self, one: Slice) -> list[SetLine]:
-        """The fewest lines that bring a table to what is wanted: a message goes to every proxy.
+        """The fewest lines that bring a table to what is wanted, as each goes to every proxy.
 
-        Other lines that are a trace beside the main one stay, and so do lines of whoever is not listed as ready.
+        Others that are a trace beside the main one stay, and so do lines of whoever is not listed as ready.
         """
         want, have = one.wanted, one.lines
         if not self.terms.sliced or self.terms.one_owner:
@@ -511,22 +498,19 @@
     # From wanted to present.
 
     def _list_owed(self) -> None:
-        """Who is owed what, in order of worth: a main line before a standby line, the hottest first."""
-        self.owed = []
+        """Decides anew and lists what is owed: what shifts RPCs before standby lines, the hottest first."""
+        self._want()
         for one in self.slices:
-            one.owed = self._owe(one) if one.wanted else []
-            if one.owed:
-                main = max(one.wanted, key=one.wanted.get)
-                one.shifts = any(o.backend is main or one.wanted.get(o.backend, 0.0) > NEAR for o in one.owed)
-                self.owed.append(one)
-        self.owed.sort(key=lambda s: (not s.shifts, -(s.heat or 0.0)))
+            one.owed = (self._owe(one) if one.wanted else []) + self._owe_levels(one)
+            one.shifts = any(type(o) is SetLevel or one.wanted.get(o.backend, 0.0) > NEAR for o in one.owed)
+        self.owed = sorted((one for one in self.slices if one.owed),
+                           key=lambda s: (not s.shifts, -(s.heat or 0.0)))
 
     def _may_push(self) -> bool:
         if (self.now - self.channel.pushed_at < PUSH_AFTER
                 and self.channel.unconfirmed() > MOST * len(self.proxies)):
             return False
-        most = self.terms.pushes_allowed
-        return not most or len(self.channel.pushes) < ORDINARY_PART * most
+        return len(self.channel.pushes) < ORDINARY_PART * (self.terms.pushes_allowed or 1e9)
 
     def _emit(self) -> list[Order]:
         """Orders the difference between the wanted and the present state, as the channel allows.
@@ -535,45 +519,57 @@
         rest waits until most proxies have confirmed the last seal.
         """
         orders: list[Order] = []
+        if self.dirty:
+            self._list_owed()
         self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
                             self.now - self.terms.update_window)
-        waiting, each = self.channel.waiting(), max(len(self.proxies), 1)
-        head = self.terms.head_lines + 1
-        room = self.terms.pending_max * URGENT_PART / each - waiting / each - head
-        if self.terms.pushes_allowed and len(self.channel.pushes) >= self.terms.pushes_allowed:
+        each, head = max(len(self.proxies), 1), self.terms.head_lines + 1
+        used = self.channel.waiting() / each + head
+        room = self.terms.pending_max * URGENT_PART / each - used
+        if len(self.channel.pushes) >= (self.terms.pushes_allowed or 1e9):
             room = 0.0
-        for backend in self.backends:
-            if room > 1 and not backend.shut_out and self._must_out(backend):
-                room -= self._withdraw(backend, orders)
-            elif room > 1 and backend.shut_out and self.untold and any(
-                    backend in s.lines for s in self.slices):
-                orders.append(ShutOut(backend, True))   # a late joiner has missed it
+        for backend in self.backends:   # also for a late joiner, which has missed the withdrawals so far
+            if room > 1 and (self._must_out(backend) if not backend.shut_out else
+                             self.untold and any(backend in one.lines for one in self.slices)):
+                orders.append(ShutOut(backend, True))
                 room -= 1
+                self.dirty |= not backend.shut_out
+                backend.shut_out = True
         self.untold = False
         if self.dirty:
-            self._want()
-        # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given. Where not
-        # all fit, a push is worth its head or waits.
-        bare = [one for one in self.owed if all(b.shut_out for b in one.lines)]
-        if bare and room > min(sum(len(one.owed) for one in bare), head):
-            room = self._pay(bare, room, orders)
+            self._list_owed()
+        # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given. Where
+        # not all of them fit, a push is worth its head or waits.
+        stripped = [one for one in self.owed if bare(one.lines)]
+        if stripped and room > min(sum(len(one.owed) for one in stripped), head):
+            room = self._pay(stripped, room, orders)
         if self._may_push():
-            room = min(room, self.terms.pending_max * ORDINARY_PART / each - waiting / each - head)
-            if self.levels_due and room > 1:
-                room -= self._order_levels(orders)
+            room = min(room, self.terms.pending_max * ORDINARY_PART / each - used)
+            if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
+                self.levels_due = False
+                orders.append(self._level(tuple(range(len(self.terms.methods))), None, 1.0))
             if orders or room > min(sum(len(one.owed) for one in self.owed), head):
                 room = self._pay(self.owed, room, orders)
-            for one in self.slices:
-                if self._levels(one) != one.levels and room > len(self.terms.methods):
-                    room -= self._order_step(one, orders)
         for backend in self.backends:
             if backend.shut_out and room > 1 and self._open(backend) and not self._over(backend):
-                room -= self._let_in(backend, orders)
-        if not self.terms.sliced:
-            self._bind(orders)
+                backend.shut_out, self.dirty = False, True
+                self._forget(backend)
+                for one in self.slices:
+                    one.moved_at = self.now if backend in one.lines else one.moved_at
+                orders.append(ShutOut(backend, False))
+                room -= 1
+        for proxy in () if self.terms.sliced else [p for p in self.proxies if not p.bound]:
+            if all(one.lines for one in self.slices):
+                proxy.bound = True
+                orders += [BindProxy(one, proxy) for one in self.slices]
         if orders:
-            self._close(orders)
-        self._set_plan()
+            self.seal = self.seal % 65_000 + 1
+            lines = len(orders) + head + (0 if self.terms.sliced else len(self.backends))
+            self.channel.sent(self.seal, lines, self.proxies, self.now)
+            orders.append(Seal(self.seal))
+        # A plan has run once its tables were sent and most proxies confirmed them.
+        if self.plan and not any(one.owed for one in self.plan) and self._may_push():
+            self.plan.clear()
         self._timers(orders)
         return orders
 
@@ -588,28 +584,8 @@
 
     def _over(self, backend: Backend) -> bool:
         """Whether some table gives a backend more than is wanted, or would, were it let in."""
-        for one in self.slices:
-            if backend in one.lines:
-                weight = one.lines[backend]
-                beside = sum(w for b, w in one.lines.items() if b is not backend and not b.shut_out)
-                if weight / (weight + beside) > one.wanted.get(backend, 0.0) / (
-                        sum(one.wanted.values()) or 1.0) + NEAR:
-                    return True
-        return False
-
-    def _withdraw(self, backend: Backend, orders: list[Order]) -> float:
-        backend.shut_out = True
-        orders.append(ShutOut(backend, True))
-        self.dirty = True
-        return 1.0
-
-    def _let_in(self, backend: Backend, orders: list[Order]) -> float:
-        backend.shut_out, self.dirty = False, True
-        self._forget(backend)
-        for one in self.slices:
-            one.moved_at = self.now if backend in one.lines else one.moved_at
-        orders.append(ShutOut(backend, False))
-        return 1.0
+        return any(part_if_in(one.lines, backend) > one.wanted.get(backend, 0.0) / (
+            sum(one.wanted.values()) or 1.0) + NEAR for one in self.slices if backend in one.lines)
 
     def _pay(self, owed: list[Slice], room: float, orders: list[Order]) -> float:
         """Writes the lines that tables are owed, as far as there is room."""
@@ -620,23 +596,16 @@
             orders += one.owed
             if one.shifts:
                 one.moved_at = self.now
+            one.levels = self._levels(one)
             for order in one.owed:
-                if self.terms.one_owner:
-                    one.lines.clear()
-                one.lines[order.backend] = order.weight
-                if not order.weight:
-                    del one.lines[order.backend]
-            one.owed = []
+                if type(order) is SetLine:
+                    one.lines = {} if self.terms.one_owner else one.lines
+                    one.lines[order.backend] = order.weight
+            one.lines, one.owed = {b: w for b, w in one.lines.items() if w}, []
         self.owed = [one for one in self.owed if one.owed]
         return room
 
-    def _order_levels(self, orders: list[Order]) -> float:
-        """Trying again, for all slices: only after a first try that never ran, so no effect comes twice."""
-        self.levels_due = False
-        orders.append(self._level(None, tuple(range(len(self.terms.methods))), 1.0))
-        return 1.0
-
-    def _level(self, one: Optional[Slice], methods: tuple[int, ...], part: float) -> SetLevel:
+    def _level(self, methods: tuple[int, ...], one: Optional[Slice], part: float) -> SetLevel:
         return SetLevel(methods, one, 1e9 if self.terms.levels == "rps" else part, Retry.NEVER_RAN)
 
     def _levels(self, one: Slice) -> tuple[float, float]:
@@ -646,39 +615,13 @@
         """
         if self.terms.levels != "ratio" or one.owner is None or not self._crowded(one.owner):
             return 1.0, 1.0
-        cut = 1.0 - self.let.get(one.owner.zone, 1.0)
-        low = min(self.low_part, 1.0 - 1e-9)
-        return (round(max(1.0 - cut / max(low, 1e-9), 0.0), 1),
-                round(1.0 - max(cut - low, 0.0) / (1.0 - low), 1))
-
-    def _order_step(self, one: Slice, orders: list[Order]) -> float:
-        former, one.levels = one.levels, self._levels(one)
-        before = len(orders)
-        for rank in (0, 1):
-            methods = tuple(
-                k for k, m in enumerate(self.terms.methods) if (m.criticality > self.least) == bool(rank))
-            if methods and former[rank] != one.levels[rank]:
-                orders.append(self._level(one, methods, one.levels[rank]))
-        return len(orders) - before
-
-    def _bind(self, orders: list[Order]) -> None:
-        for proxy in [p for p in self.proxies if not p.bound and all(one.lines for one in self.slices)]:
-            proxy.bound = True
-            orders += [BindProxy(one, proxy) for one in self.slices]
-
-    def _close(self, orders: list[Order]) -> None:
-        """Seals a push and books its lines until they are confirmed."""
-        self.seal = self.seal % 65_000 + 1
-        lines = len(orders) + self.terms.head_lines + 1
-        if not self.terms.sliced:
-            lines += len(self.backends)
-        self.channel.sent(self.seal, lines, self.proxies, self.now)
-        orders.append(Seal(self.seal))
+        cut, low = 1.0 - self.let.get(one.owner.zone, 1.0), len(self.ranks[0]) / len(self.terms.methods)
+        return round(max(1.0 - cut / low, 0.0), 1), round(1.0 - max(cut - low, 0.0) / max(1.0 - low, 0.1), 1)
 
-    def _set_plan(self) -> None:
-        """A plan has run once its tables were sent and most proxies confirmed them."""
-        if self.plan and not any(one.owed for one in self.plan) and self._may_push():
-            self.plan.clear()
+    def _owe_levels(self, one: Slice) -> list[SetLevel]:
+        return [self._level(methods, one, part)
+                for methods, part, former in zip(self.ranks, self._levels(one), one.levels)
+                if methods and part != former]
 
     def _timers(self, orders: list[Order]) -> None:
         if self.follow_at is not None and self.now >= self.follow_at:
--- /dev/null
+++ b/lifthinge/tables.py
@@ -0,0 +1,31 @@
+"""Arithmetic on a slice's lines: a dictionary from backend to weight, some of them withdrawn."""
+from lifthinge.interface import Backend
+
+
+def parts(lines: dict[Backend, float]) -> dict[Backend, float]:
+    """How RPCs divide over the lines that are not withdrawn.
+
+    >>> a, b, c = Backend("a"), Backend("b"), Backend("c", shut_out=True)
+    >>> [(x.ep, part) for x, part in parts({a: 3.0, b: 1.0, c: 9.0}).items()]
+    [('a', 0.75), ('b', 0.25)]
+    """
+    live = {backend: weight for backend, weight in lines.items() if not backend.shut_out}
+    total = sum(live.values())
+    return {backend: weight / total for backend, weight in live.items()}
+
+
+def part_if_in(lines: dict[Backend, float], backend: Backend) -> float:
+    """What part a backend has, or would have, were it let in.
+
+    >>> a, c = Backend("a"), Backend("c", shut_out=True)
+    >>> part_if_in({a: 1.0, c: 3.0}, c), part_if_in({a: 1.0}, c)
+    (0.75, 0.0)
+    """
+    own = lines.get(backend, 0.0)
+    beside = sum(weight for other, weight in lines.items() if other is not backend and not other.shut_out)
+    return own / (own + beside) if own else 0.0
+
+
+def bare(lines: dict[Backend, float]) -> bool:
+    """Whether no line is left that is not withdrawn."""
+    return all(backend.shut_out for backend in lines)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -6,8 +6,8 @@
 
 from tests.play import Stage
 
-MODULES = ("lifthinge.channel", "lifthinge.histogram", "lifthinge.lowest", "lifthinge.wirehost.codec",
-           "lifthinge.wirehost.translate", "lifthinge.wirehost.__main__")
+MODULES = ("lifthinge.channel", "lifthinge.histogram", "lifthinge.lowest", "lifthinge.tables",
+           "lifthinge.wirehost.codec", "lifthinge.wirehost.translate", "lifthinge.wirehost.__main__")
 SCENARIOS = Path(__file__).parent / "scenarios"
 
 
