At most a quarter is out as sick; the reserve is for rule-bound withdrawals alone

Cause: connects that fail everywhere had half of a fleet shut out; returns and the sick filled the queue to 0.9 for seconds, and a drain was 2 s late where more moves went out. Covers squeezed connections and bad paths; harm: more than a quarter truly hung stay in use.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -40,7 +40,7 @@
 ALL_BAD = 0.95              # a slow or silent backend is sick if so many go wrong
 QUICK = 2.5                 # ratio up to which a backend is not crowded
 BAD_LEAST = 4.0             # tries, before they are judged
-SICK_MOST = 0.5             # of the fleet; over it the view is bad, not the fleet
+SICK_MOST = 0.25            # of the fleet; over it the view is bad, not the fleet
 SHUT_FIRST = 8_000.0        # a sick backend's first time out; doubles
 FILL_PART = 0.7             # of its part of the mean heat: under it a started backend is filled
 WORTH_MOVING = 0.05         # of a violator's heat: a cooler slice would only use up a destination
@@ -308,8 +308,8 @@
                 or b.dry >= DRY_LEAST
                 and self.now - (b.heard_at or 0.0) > max(patience[self._crowded(b)], 2 * self.horizon)]
         ready = [b for b in self.backends if b.phase is Phase.READY]
-        if len(sick) + sum(not self._open(b) for b in ready) > SICK_MOST * len(ready):
-            return      # when most look sick the view is bad, not the fleet
+        if len(sick) + sum(not self._open(b) for b in ready) > max(SICK_MOST * len(ready), 1):
+            return      # when many look sick the view is bad, not the fleet
         for backend in sick:
             self.said.append(Say(f"shut out {backend.ep.hex()}: {judged.get(backend, 0):.0%} of its tries"
                                  f" went wrong, {backend.dry:.0f} asked since one went well"))
@@ -526,11 +526,13 @@
         each, head = max(len(self.proxies), 1), self.terms.head_lines + 1
         used = self.channel.waiting() / each + head
         room = self.terms.pending_max * URGENT_PART / each - used
+        kept = self.terms.pending_max * (URGENT_PART - ORDINARY_PART) / each
         if len(self.channel.pushes) >= (self.terms.pushes_allowed or 1e9):
             room = 0.0
         for backend in self.backends:   # also for a late joiner, which has missed the withdrawals so far
-            if room > 1 and (self._must_out(backend) if not backend.shut_out else
-                             self.untold and any(backend in one.lines for one in self.slices)):
+            if room > (1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1) and (
+                    self._must_out(backend) if not backend.shut_out else
+                    self.untold and any(backend in one.lines for one in self.slices)):
                 orders.append(ShutOut(backend, True))
                 room -= 1
                 self.dirty |= not backend.shut_out
@@ -544,14 +546,14 @@
         if stripped and room > min(sum(len(one.owed) for one in stripped), head):
             room = self._pay(stripped, room, orders)
         if self._may_push():
-            room = min(room, self.terms.pending_max * ORDINARY_PART / each - used)
+            room, kept = room - kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
                 self.levels_due = False
                 orders.append(self._level(tuple(range(len(self.terms.methods))), None, 1.0))
             if orders or room > min(sum(len(one.owed) for one in self.owed), head):
                 room = self._pay(self.owed, room, orders)
         for backend in self.backends:
-            if backend.shut_out and room > 1 and self._open(backend) and not self._over(backend):
+            if backend.shut_out and room > kept + 1 and self._open(backend) and not self._over(backend):
                 backend.shut_out, self.dirty = False, True
                 self._forget(backend)
                 for one in self.slices:
