Nobody is shut out in a broad trouble; who was comes back

Cause: with squeezed connections, one method unanswered or backends ageing, a third and more fail part of their tries; those seen first were shut out and the rest crowded. Now if a fifth fail a tenth nobody is singled out. Covers bad views and slow paths; harm: a fifth truly hung stay in.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -40,7 +40,7 @@
 ALL_BAD = 0.95              # a slow or silent backend is sick if so many go wrong
 QUICK = 2.5                 # ratio up to which a backend is not crowded
 BAD_LEAST = 4.0             # tries, before they are judged
-SICK_MOST = 0.25            # of the fleet; over it the view is bad, not the fleet
+BROAD_SHARE, BROAD_MOST = 0.1, 0.2     # so much goes wrong at so much of the fleet: nobody is singled out
 SHUT_FIRST = 8_000.0        # a sick backend's first time out; doubles
 FILL_PART = 0.7             # of its part of the mean heat: under it a started backend is filled
 WORTH_MOVING = 0.05         # of a violator's heat: a cooler slice would only use up a destination
@@ -296,7 +296,8 @@
         """Shuts out backends that fail far more than the fleet yet are quick, or where nothing ends well.
 
         It covers fast errors, crashes and cuts before the list tells, and hangs. A crowded one is moved from:
-        shutting it would crowd the next. Harm: where a whole zone pushes back for want of room.
+        shutting it would crowd the next. A broad trouble (squeezed connections, one method unanswered, a slow
+        path, a bad view) hands no work to the rest, who could not do it. Harm: a fifth truly hung stay in.
         """
         opened = [b for b in self.backends if self._open(b)]
         judged = {b: b.outcomes.share_from(WRONG) for b in opened if b.outcomes.total() >= BAD_LEAST}
@@ -308,8 +309,12 @@
                 or b.dry >= DRY_LEAST
                 and self.now - (b.heard_at or 0.0) > max(patience[self._crowded(b)], 2 * self.horizon)]
         ready = [b for b in self.backends if b.phase is Phase.READY]
-        if len(sick) + sum(not self._open(b) for b in ready) > max(SICK_MOST * len(ready), 1):
-            return      # when many look sick the view is bad, not the fleet
+        out = [b for b in ready if not self._open(b)]
+        suspects = sum(b in sick or judged.get(b, 0.0) >= BROAD_SHARE for b in opened)
+        if len(out) + suspects > max(BROAD_MOST * len(ready), 1):
+            for backend in out:
+                backend.shut_until = self.now
+            return
         for backend in sick:
             self.said.append(Say(f"shut out {backend.ep.hex()}: {judged.get(backend, 0):.0%} of its tries"
                                  f" went wrong, {backend.dry:.0f} asked since one went well"))
