--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -51,6 +51,7 @@
 HORIZON_FADES = 0.95        # each period
 ORDINARY_PART = 0.5         # of the channel's queue; the rest is kept for rule-bound changes
 URGENT_PART = 0.9
+LET_ALL = 1e9               # a level, be it a fraction or a rate
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
 LET_CUT = 0.7, 0.8          # less is let in: times the part that goes well, within these
 LET_STEP, LET_LEAST = 0.1, 0.35     # back by so much each horizon, when it shows in reports; never less
@@ -86,8 +87,7 @@
         self.good = 1.0                             # part of all tries that goes well
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
-        self.let: dict[int, float] = {}             # zone: part of what is asked that is let in
-        self.let_at: dict[int, float] = {}          # zone: when that was last changed
+        self.let: dict[int, tuple[float, float]] = {}   # zone: part that is let in, and since when
         self.plan: dict[Slice, Backend] = {}        # moves that still run: slice to former owner
         self.seal = 0
         self.channel = Channel()
@@ -98,8 +98,7 @@
 
     def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
         """What is ordered after one batch."""
-        self.now = now
-        self.said = []
+        self.now, self.said = now, []
         for event in events:
             if type(event) in self.notes:
                 self.notes[type(event)](event)
@@ -257,28 +256,26 @@
         return backend.took > STRESS_LOW * self.soft
 
     def _weigh_zones(self) -> None:
-        """Sets each zone's rung on the ladder of levels, from the zone's own latencies.
+        """Sets what part each zone lets in, from the zone's own latencies: down at once, back in steps.
 
         Against the retry storms in which a crowded fleet stays crowded, whatever began them. It harms where
         RPCs are slow by nature: there the low criticality is pushed back for nothing.
         """
         warm = [b for b in self.backends if self._warm(b)]
-        tries = max(sum(b.ok + b.aborted for b in self.backends), 1e-9)
-        self.good = (self.good + 1 - sum(b.aborted for b in self.backends) / tries) / 2
+        tries, bad = sum(b.ok + b.aborted for b in self.backends), sum(b.aborted for b in self.backends)
+        self.good = (self.good + 1 - bad / max(tries, 1e-9)) / 2
         self.fair = (self.fair + sum(b.ok for b in warm) / self.terms.report_every
                      / max(sum(b.size for b in warm), 1e-9)) / 2
         for zone in dict.fromkeys(b.zone for b in self.backends if b.ok):
             here = [b for b in self.backends if b.zone == zone and b.ok]
             stress = sum(b.took_sum for b in here) / sum(b.ok for b in here) / self.soft
             stress = self.stress[zone] = (self.stress.get(zone, 0.0) + stress) / 2
-            let = self.let.setdefault(zone, 1.0)
+            let, since = self.let.get(zone, (1.0, 0.0))
             well = sum(b.ok for b in here) / sum(b.ok + b.aborted for b in here)
             if stress > STRESS_HIGH:
-                self.let[zone] = max(let * min(max(well, LET_CUT[0]), LET_CUT[1]), LET_LEAST)
-            elif stress < STRESS_LOW and self.now - self.let_at.get(zone, 0.0) > self.horizon:
-                self.let[zone] = min(let + LET_STEP, 1.0)
-            if self.let[zone] != let:
-                self.let_at[zone] = self.now
+                self.let[zone] = max(let * min(max(well, LET_CUT[0]), LET_CUT[1]), LET_LEAST), self.now
+            elif stress < STRESS_LOW and self.now - since > self.horizon:
+                self.let[zone] = min(let + LET_STEP, 1.0), self.now
 
     def _judge_ratios(self) -> None:
         mark = VIOLATOR_MARK * self._median()
@@ -302,12 +299,10 @@
         opened = [b for b in self.backends if self._open(b)]
         judged = {b: b.outcomes.share_from(WRONG) for b in opened if b.outcomes.total() >= BAD_LEAST}
         mark = max(BAD_SHARE, BAD_OVER_MEDIAN * median(judged.values() or [0.0]))
-        patience = [max(m.soft_deadline for m in self.terms.methods),       # or, to work off a queue,
-                    max(m.deadline for m in self.terms.methods)]
         sick = [b for b in opened if not self._crowded(b)
                 and judged.get(b, 0.0) >= (mark if b.ok and b.ratio <= QUICK else ALL_BAD)
-                or b.dry >= DRY_LEAST
-                and self.now - (b.heard_at or 0.0) > max(patience[self._crowded(b)], 2 * self.horizon)]
+                or b.dry >= DRY_LEAST and self.now - (b.heard_at or 0.0) > max(2 * self.horizon, max(
+                    m.deadline if self._crowded(b) else m.soft_deadline for m in self.terms.methods))]
         ready = [b for b in self.backends if b.phase is Phase.READY]
         out = [b for b in ready if not self._open(b)]
         suspects = sum(b in sick or judged.get(b, 0.0) >= BROAD_SHARE for b in opened)
@@ -404,14 +399,13 @@
     def _weigh(self) -> None:
         """Adds up the heat of each backend by the lines ordered; a slice not heard of counts as average.
 
-        Else a controller just given slices would take them all for cold, and put them on one backend.
+        Else a controller just given slices would take them for cold, and put them on one backend.
         """
-        known = [one.heat for one in self.slices if one.heat is not None]
+        known = [one.heat for one in self.slices if one.heat] or [1e-3]
         for backend in self.backends:
             backend.heat = backend.home_heat = backend.spare_heat = 0.0
         for one in self.slices:
-            if one.heat is None:
-                one.heat = sum(known) / len(known) if sum(known) else 1e-3
+            one.heat = sum(known) / len(known) if one.heat is None else one.heat
             if one.owner:
                 one.owner.home_heat += one.heat
             for backend, part in parts(one.lines).items():
@@ -478,21 +472,18 @@
     def _owe(self, one: Slice) -> list[SetLine]:
         """The fewest lines that bring a table to what is wanted, as each goes to every proxy.
 
-        Others that are a trace beside the main one stay, and so do lines of whoever is not listed as ready.
+        Others that are a trace beside the main one stay.
         """
         want, have = one.wanted, one.lines
+        stale = [] if self.terms.one_owner else [SetLine(one, b, 0.0) for b in have if b not in want]
         if not self.terms.sliced or self.terms.one_owner:
-            stale = () if self.terms.one_owner else [b for b in have if b not in want]
-            return [SetLine(one, b, w) for b, w in want.items() if have.get(b) != w] + [
-                SetLine(one, b, 0.0) for b in stale]
+            return [SetLine(one, b, w) for b, w in want.items() if have.get(b) != w] + stale
         main = max(want, key=want.get)
-        stale = max((w for b, w in have.items() if b not in want and b.phase is Phase.READY), default=0.0)
-        top = have.get(main, 0.0)
-        if top * SPARE_WEIGHT < stale / 2 or not top:
-            top = max(stale, *have.values(), 1.0) / SPARE_WEIGHT if have else 1.0
+        top, other = have.get(main, 0.0), max((w for b, w in have.items() if b not in want), default=0.0)
+        if top * SPARE_WEIGHT < other / 2 or not top:
+            top = max(have.values()) / SPARE_WEIGHT if have else 1.0
         if top > WEIGHT_MOST:
-            return [SetLine(one, b, max(w / want[main], SPARE_WEIGHT)) for b, w in want.items()] + [
-                SetLine(one, b, 0.0) for b in have if b not in want]
+            return [SetLine(one, b, max(w / want[main], SPARE_WEIGHT)) for b, w in want.items()] + stale
         owed = []
         for backend, part in want.items():
             weight, present = max(part / want[main], SPARE_WEIGHT), have.get(backend, 0.0) / top
@@ -507,15 +498,16 @@
         self._want()
         for one in self.slices:
             one.owed = (self._owe(one) if one.wanted else []) + self._owe_levels(one)
-            one.shifts = any(type(o) is SetLevel or one.wanted.get(o.backend, 0.0) > NEAR for o in one.owed)
+            live = parts(one.lines)
+            one.shifts = self._levels(one) != one.levels or any(
+                abs(live.get(b, 0.0) - part) > NEAR for b, part in one.wanted.items())
         self.owed = sorted((one for one in self.slices if one.owed),
                            key=lambda s: (not s.shifts, -(s.heat or 0.0)))
 
     def _may_push(self) -> bool:
-        if (self.now - self.channel.pushed_at < PUSH_AFTER
-                and self.channel.unconfirmed() > MOST * len(self.proxies)):
-            return False
-        return len(self.channel.pushes) < ORDINARY_PART * (self.terms.pushes_allowed or 1e9)
+        return (self.now - self.channel.pushed_at >= PUSH_AFTER
+                or self.channel.unconfirmed() <= MOST * len(self.proxies)) and (
+            len(self.channel.pushes) < ORDINARY_PART * (self.terms.pushes_allowed or 1e9))
 
     def _emit(self) -> list[Order]:
         """Orders the difference between the wanted and the present state, as the channel allows.
@@ -542,7 +534,7 @@
                 room -= 1
                 self.dirty |= not backend.shut_out
                 backend.shut_out = True
-        self.untold = False
+        self.untold = self.untold and room <= 1
         if self.dirty:
             self._list_owed()
         # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given. Where
@@ -554,7 +546,8 @@
             room, kept = room - kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
                 self.levels_due = False
-                orders.append(self._level(tuple(range(len(self.terms.methods))), None, 1.0))
+                every = tuple(range(len(self.terms.methods)))
+                orders.append(SetLevel(every, None, LET_ALL, Retry.NEVER_RAN))
             if orders or room > min(sum(len(one.owed) for one in self.owed), head):
                 room = self._pay(self.owed, room, orders)
         for backend in self.backends:
@@ -577,7 +570,13 @@
         # A plan has run once its tables were sent and most proxies confirmed them.
         if self.plan and not any(one.owed for one in self.plan) and self._may_push():
             self.plan.clear()
-        self._timers(orders)
+        if self.follow_at is not None and self.now >= self.follow_at:
+            self.follow_at = None
+            orders.append(FollowList(True))
+        if self.now >= self.wake_at:
+            beat = min(self.terms.report_every, ROUND_EVERY) / 2
+            self.wake_at = self.now + beat
+            orders.append(Wake(beat, 0))
         return orders
 
     def _must_out(self, backend: Backend) -> bool:
@@ -601,9 +600,7 @@
                 continue
             room -= len(one.owed)
             orders += one.owed
-            if one.shifts:
-                one.moved_at = self.now
-            one.levels = self._levels(one)
+            one.moved_at, one.levels = self.now if one.shifts else one.moved_at, self._levels(one)
             for order in one.owed:
                 if type(order) is SetLine:
                     one.lines = {} if self.terms.one_owner else one.lines
@@ -612,9 +609,6 @@
         self.owed = [one for one in self.owed if one.owed]
         return room
 
-    def _level(self, methods: tuple[int, ...], one: Optional[Slice], part: float) -> SetLevel:
-        return SetLevel(methods, one, 1e9 if self.terms.levels == "rps" else part, Retry.NEVER_RAN)
-
     def _levels(self, one: Slice) -> tuple[float, float]:
         """What is let in of the least criticality, which gives way first, and of the others.
 
@@ -622,19 +616,11 @@
         """
         if self.terms.levels != "ratio" or one.owner is None or not self._crowded(one.owner):
             return 1.0, 1.0
-        cut, low = 1.0 - self.let.get(one.owner.zone, 1.0), len(self.ranks[0]) / len(self.terms.methods)
+        low = len(self.ranks[0]) / len(self.terms.methods)
+        cut = 1.0 - self.let.get(one.owner.zone, (1.0, 0.0))[0]
         return round(max(1.0 - cut / low, 0.0), 1), round(1.0 - max(cut - low, 0.0) / max(1.0 - low, 0.1), 1)
 
     def _owe_levels(self, one: Slice) -> list[SetLevel]:
-        return [self._level(methods, one, part)
+        return [SetLevel(methods, one, part, Retry.NEVER_RAN)
                 for methods, part, former in zip(self.ranks, self._levels(one), one.levels)
                 if methods and part != former]
-
-    def _timers(self, orders: list[Order]) -> None:
-        if self.follow_at is not None and self.now >= self.follow_at:
-            self.follow_at = None
-            orders.append(FollowList(True))
-        if self.now >= self.wake_at:
-            beat = min(self.terms.report_every, ROUND_EVERY) / 2
-            self.wake_at = self.now + beat
-            orders.append(Wake(beat, 0))
