--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -79,10 +79,10 @@
             SliceHeat: self._note_heat, Leased: self._note_lease, StoredLine: self._note_line,
             ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
             SealConfirmed: lambda event: self.channel.confirmed(event.seal, event.proxy)}
-        self.dirty = True
+        self.dirty = self.levels_due = True
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at: Optional[float] = 0.0 if terms.news_on_request else None
-        self.levels_due, self.untold = True, False  # untold: who joined has missed the withdrawals
+        self.untold: dict[Backend, None] = {}       # withdrawals that who joined has missed
         self.horizon = terms.report_every           # the longest span that a report covered of late
         self.good = 1.0                             # part of all tries that goes well
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
@@ -129,9 +129,8 @@
             backend.zone, backend.cell, backend.phase = entry.zone, entry.cell, entry.phase
             backend.started = entry.started
             backend.size = entry.size if self.terms.sizes_told and entry.size > 0 else 1.0
-        for backend in self.backends:
-            if news.form is not Form.DELTA and backend not in listed:
-                backend.phase = Phase.GONE
+        for backend in self.backends if news.form is not Form.DELTA else ():
+            backend.phase = backend.phase if backend in listed else Phase.GONE
         self.dirty = True
 
     def _meet(self, backend: Backend) -> None:
@@ -145,7 +144,7 @@
 
     def _note_join(self, event: ProxyJoined) -> None:
         self.proxies[event.proxy] = None
-        self.untold = True
+        self.untold.update((b, None) for b in self.backends if b.shut_out)
 
     def _note_tries(self, report: TriesReport) -> None:
         backend, ok = report.backend, max(report.total - report.aborted, 0)
@@ -327,14 +326,10 @@
         middle = self._median()
         violators = sorted((b for b in self.backends if self._open(b) and b.ratio is not None
                             and b.strikes >= VIOLATOR_REPORTS), key=lambda b: -b.ratio)
-        worst = violators[0].ratio / middle if violators else 0.0
-        if self.plan:
-            if worst > self.plan_worst:
-                self._cancel()
-            self.plan_worst = worst
-            return
-        self.plan_worst = worst
-        if self.now < self.cool_until or not self.terms.sliced or self.terms.one_owner:
+        former, self.plan_worst = self.plan_worst, violators[0].ratio / middle if violators else 0.0
+        if self.plan and self.plan_worst > former:
+            self._cancel()
+        if self.plan or self.now < self.cool_until or not self.terms.sliced or self.terms.one_owner:
             return
         budget, used = MOVE_BUDGET, {}
         for violator in violators:
@@ -388,7 +383,7 @@
     def _cancel(self) -> None:
         """Drops the moves that have not been sent and lets the system cool off."""
         for one, former in self.plan.items():
-            if one.owed and self._usable(former):
+            if one.owed and one.shifts and self._usable(former):
                 one.owner, one.rests_until = former, 0.0
         self.plan.clear()
         self.cool_until = self.now + COOL_OFF
@@ -476,10 +471,13 @@
         """
         want, have = one.wanted, one.lines
         stale = [] if self.terms.one_owner else [SetLine(one, b, 0.0) for b in have if b not in want]
+        dead = [order for order in stale if order.backend.phase is not Phase.READY
+                and part_if_in(have, order.backend) > NEAR]
         if not self.terms.sliced or self.terms.one_owner:
             return [SetLine(one, b, w) for b, w in want.items() if have.get(b) != w] + stale
         main = max(want, key=want.get)
-        top, other = have.get(main, 0.0), max((w for b, w in have.items() if b not in want), default=0.0)
+        top = have.get(main, 0.0)
+        other = max((have[o.backend] for o in stale if o.backend.phase is Phase.READY), default=0.0)
         if top * SPARE_WEIGHT < other / 2 or not top:
             top = max(have.values()) / SPARE_WEIGHT if have else 1.0
         if top > WEIGHT_MOST:
@@ -489,7 +487,7 @@
             weight, present = max(part / want[main], SPARE_WEIGHT), have.get(backend, 0.0) / top
             if not present or abs(present - weight) > NEAR * (weight > SPARE_WEIGHT) + SPARE_WEIGHT:
                 owed.append(SetLine(one, backend, weight * top))
-        return owed
+        return owed + dead
 
     # From wanted to present.
 
@@ -528,13 +526,13 @@
             room = 0.0
         for backend in self.backends:   # also for a late joiner, which has missed the withdrawals so far
             if room > (1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1) and (
-                    self._must_out(backend) if not backend.shut_out else
-                    self.untold and any(backend in one.lines for one in self.slices)):
-                orders.append(ShutOut(backend, True))
-                room -= 1
+                    self._must_out(backend) if not backend.shut_out else backend in self.untold):
                 self.dirty |= not backend.shut_out
+                if not backend.shut_out or any(backend in one.lines for one in self.slices):
+                    orders.append(ShutOut(backend, True))
+                    room -= 1
                 backend.shut_out = True
-        self.untold = self.untold and room <= 1
+                self.untold.pop(backend, None)
         if self.dirty:
             self._list_owed()
         # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given. Where
@@ -568,7 +566,7 @@
             self.channel.sent(self.seal, lines, self.proxies, self.now)
             orders.append(Seal(self.seal))
         # A plan has run once its tables were sent and most proxies confirmed them.
-        if self.plan and not any(one.owed for one in self.plan) and self._may_push():
+        if self.plan and not any(one.owed and one.shifts for one in self.plan) and self._may_push():
             self.plan.clear()
         if self.follow_at is not None and self.now >= self.follow_at:
             self.follow_at = None
