--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -10,7 +10,6 @@
 from typing import Iterable, Optional
 
 from lifthinge.channel import Channel
-from lifthinge.histogram import Histogram
 from lifthinge.interface import (
     Backend, BindProxy, Event, FleetNews, FollowList, Form, Leased, Order, Phase, Proxy, ProxyJoined,
     ProxyLeft, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut, SiteTerms, Slice, SliceHeat,
@@ -49,14 +48,16 @@
 UNHEARD_AFTER = 3.0         # horizons of the reports
 SETTLED_AFTER = 3.0         # horizons: older moves show in reports
 HORIZON_FADES = 0.95        # each period
-ORDINARY_PART = 0.5         # of the channel's queue; the rest is kept for rule-bound changes
-URGENT_PART = 0.9
+ORDINARY_PART = 0.4         # of the channel's queue is for what can wait
+BARE_PART, URGENT_PART = 0.65, 0.9  # for tables left bare; for withdrawals, never long on their way
+JOINS_GATHER = 0.25         # of the push timer: before late joiners are told what they missed
+LEVELS = 4                  # steps between none and all: each costs a line a slice
 LET_ALL = 1e9               # a level, be it a fraction or a rate
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
 LET_CUT = 0.7, 0.8          # less is let in: times the part that goes well, within these
 LET_STEP, LET_LEAST = 0.1, 0.35     # back by so much each horizon, when it shows in reports; never less
 SLOWEST = 6.0               # the channel may send so many times slower; older lines are out for sure
-WRONG = 0.5                 # edge of the outcomes: 0 went well, 1 went wrong
+WELL, WRONG = 0.0, 1.0      # outcomes of a try
 DRY_LEAST = 8.0             # RPCs asked with none going well for the longest soft deadline: it hangs
 HEALED_PART = 0.3           # of the warm-up: a backend back from being shut eases in this fast
 
@@ -83,6 +84,7 @@
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at: Optional[float] = 0.0 if terms.news_on_request else None
         self.untold: dict[Backend, None] = {}       # withdrawals that who joined has missed
+        self.untold_at = 0.0                        # when they are told
         self.horizon = terms.report_every           # the longest span that a report covered of late
         self.good = 1.0                             # part of all tries that goes well
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
@@ -120,7 +122,7 @@
         for entry in news.listings:
             backend = entry.backend
             listed[backend] = None
-            self._meet(backend)
+            self.backends.setdefault(backend)
             # A fresh start is a fresh backend, listed as gone in between or not: old tables may flood it.
             if entry.started > backend.started and entry.started + self.terms.warm_up > self.now:
                 backend.eased_from, backend.ease_span = entry.started, self.terms.warm_up
@@ -133,10 +135,6 @@
             backend.phase = backend.phase if backend in listed else Phase.GONE
         self.dirty = True
 
-    def _meet(self, backend: Backend) -> None:
-        self.backends.setdefault(backend)
-        backend.outcomes = backend.outcomes or Histogram((WRONG,))
-
     def _forget(self, backend: Backend) -> None:
         backend.lows.clear()
         backend.outcomes.clear()
@@ -144,6 +142,7 @@
 
     def _note_join(self, event: ProxyJoined) -> None:
         self.proxies[event.proxy] = None
+        self.untold_at = self.untold_at if self.untold else self.now + PUSH_AFTER * JOINS_GATHER
         self.untold.update((b, None) for b in self.backends if b.shut_out)
 
     def _note_tries(self, report: TriesReport) -> None:
@@ -173,7 +172,7 @@
     def _note_line(self, event: StoredLine) -> None:
         one = event.slice
         if one.held and event.weight > 0:
-            self._meet(event.backend)
+            self.backends.setdefault(event.backend)
             one.lines[event.backend] = event.weight
             one.owner = max(one.lines, key=lambda b: (b.phase is Phase.READY, one.lines[b]))
 
@@ -245,8 +244,8 @@
             backend.ratio, backend.heard_at = backend.took / max(backend.lows.value(), 1e-3), self.now
         elif self.now - (backend.heard_at or 0.0) > UNHEARD_AFTER * self.horizon:
             backend.ratio = None
-        backend.outcomes.add(0.0, backend.ok)
-        backend.outcomes.add(1.0, backend.aborted)
+        backend.outcomes.add(WELL, backend.ok)
+        backend.outcomes.add(WRONG, backend.aborted)
         if backend.on_trial and self._usable(backend) and backend.outcomes.bins[0] >= TRIAL_LEAST:
             backend.on_trial, backend.eased_from = False, self.now
         backend.dry = 0.0 if backend.ok else backend.dry + backend.asked
@@ -279,10 +278,8 @@
     def _judge_ratios(self) -> None:
         mark = VIOLATOR_MARK * self._median()
         for backend in self.backends:
-            if backend.ok and backend.ratio is not None:
-                backend.strikes = backend.strikes + 1 if backend.ratio > mark else 0
-            elif backend.ratio is None:
-                backend.strikes = 0
+            if backend.ok or backend.ratio is None:
+                backend.strikes = backend.strikes + 1 if (backend.ratio or 0.0) > mark else 0
             backend.ok = backend.aborted = backend.asked = backend.took_sum = 0.0
 
     def _median(self) -> float:
@@ -519,41 +516,47 @@
         self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
                             self.now - self.terms.update_window)
         each, head = max(len(self.proxies), 1), self.terms.head_lines + 1
-        used = self.channel.waiting() / each + head
-        room = self.terms.pending_max * URGENT_PART / each - used
-        kept = self.terms.pending_max * (URGENT_PART - ORDINARY_PART) / each
+        whole = self.terms.pending_max / each
+        room = whole * URGENT_PART - self.channel.waiting() / each - head
+        kept, spared = whole * (URGENT_PART - ORDINARY_PART), whole * (URGENT_PART - BARE_PART)
+
+        def worth(lines: int, part: float) -> float:
+            """The room that makes a push worth its head: for all, or as much again, or half of the most."""
+            return min(lines, head, (whole * part - head) / 2)
+
         if len(self.channel.pushes) >= (self.terms.pushes_allowed or 1e9):
             room = 0.0
-        for backend in self.backends:   # also for a late joiner, which has missed the withdrawals so far
-            if room > (1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1) and (
-                    self._must_out(backend) if not backend.shut_out else backend in self.untold):
-                self.dirty |= not backend.shut_out
-                if not backend.shut_out or any(backend in one.lines for one in self.slices):
-                    orders.append(ShutOut(backend, True))
-                    room -= 1
-                backend.shut_out = True
-                self.untold.pop(backend, None)
+        for backend in self.backends:
+            if not backend.shut_out and self._must_out(backend) and room > (
+                    1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
+                orders.append(ShutOut(backend, True))
+                room -= 1
+                backend.shut_out = self.dirty = True
+        # Who joined late has missed the withdrawals so far: told together, as each push costs its head.
+        missed = [b for b in self.untold if b.shut_out and any(b in one.lines for one in self.slices)]
+        if self.now >= self.untold_at and room > worth(len(missed), URGENT_PART):
+            told, self.untold = missed[:int(room)], dict.fromkeys(missed[int(room):])
+            orders += [ShutOut(b, True) for b in told]
+            room -= len(told)
         if self.dirty:
             self._list_owed()
-        # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given. Where
-        # not all of them fit, a push is worth its head or waits.
+        # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given.
         stripped = [one for one in self.owed if bare(one.lines)]
-        if stripped and room > min(sum(len(one.owed) for one in stripped), head):
-            room = self._pay(stripped, room, orders)
+        if room - spared > worth(sum(len(one.owed) for one in stripped), BARE_PART):
+            room = self._pay(stripped, room - spared, orders) + spared
         if self._may_push():
             room, kept = room - kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
                 self.levels_due = False
-                every = tuple(range(len(self.terms.methods)))
-                orders.append(SetLevel(every, None, LET_ALL, Retry.NEVER_RAN))
-            if orders or room > min(sum(len(one.owed) for one in self.owed), head):
+                orders.append(SetLevel(self.ranks[0] + self.ranks[1], None, LET_ALL, Retry.NEVER_RAN))
+            if orders or room > worth(sum(len(one.owed) for one in self.owed), ORDINARY_PART):
                 room = self._pay(self.owed, room, orders)
         for backend in self.backends:
             if backend.shut_out and room > kept + 1 and self._open(backend) and not self._over(backend):
                 backend.shut_out, self.dirty = False, True
                 self._forget(backend)
-                for one in self.slices:
-                    one.moved_at = self.now if backend in one.lines else one.moved_at
+                for one in (s for s in self.slices if backend in s.lines):
+                    one.moved_at = self.now
                 orders.append(ShutOut(backend, False))
                 room -= 1
         for proxy in () if self.terms.sliced else [p for p in self.proxies if not p.bound]:
@@ -596,8 +599,7 @@
         for one in owed:
             if not one.owed or room <= len(one.owed):
                 continue
-            room -= len(one.owed)
-            orders += one.owed
+            room, orders[len(orders):] = room - len(one.owed), one.owed
             one.moved_at, one.levels = self.now if one.shifts else one.moved_at, self._levels(one)
             for order in one.owed:
                 if type(order) is SetLine:
@@ -616,7 +618,8 @@
             return 1.0, 1.0
         low = len(self.ranks[0]) / len(self.terms.methods)
         cut = 1.0 - self.let.get(one.owner.zone, (1.0, 0.0))[0]
-        return round(max(1.0 - cut / low, 0.0), 1), round(1.0 - max(cut - low, 0.0) / max(1.0 - low, 0.1), 1)
+        levels = max(1.0 - cut / low, 0.0), 1.0 - max(cut - low, 0.0) / max(1.0 - low, 0.1)
+        return tuple(round(level * LEVELS) / LEVELS for level in levels)
 
     def _owe_levels(self, one: Slice) -> list[SetLevel]:
         return [SetLevel(methods, one, part, Retry.NEVER_RAN)
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -82,7 +82,7 @@
     asked: float = 0.0
     took_sum: float = 0.0
     took: float = 0.0                          # mean latency of the last report
-    outcomes: Optional[Histogram] = None
+    outcomes: Histogram = field(default_factory=lambda: Histogram((0.5,)))     # 0 went well, 1 went wrong
     shut_until: float = 0.0
     trips: int = 0
     on_trial: bool = False                     # was shut, and has not answered well since
