--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -1,4 +1,4 @@
-"""The books of a channel to many proxies: which seals are out, who has not confirmed them, how many lines wait.
+"""The books of a channel to many proxies: which seals are out, who has not confirmed, how many lines wait.
 
 >>> books = Channel()
 >>> books.sent(1, 10.0, ["p", "q"], 0.0)
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -451,10 +451,7 @@
             (b.heat + one.heat) / (b.size * self._share(b)) * (SPARE_LIKED if b in one.lines else 1.0)))
 
     def _spare(self, one: Slice, warm: list[Backend]) -> Optional[Backend]:
-        """A standby line, so that a proxy that loses the owner has somewhere to go unasked.
-
-        One that the table has is as good as any; else one in another zone, as little burdened as may be.
-        """
+        """A standby line, for who loses the owner: one that the table has, else one in another zone."""
         had = [b for b in one.lines if b is not one.owner and self._warm(b) and not b.shut_out]
         if had:
             return max(had, key=lambda b: (not b.strikes, one.lines[b]))
@@ -505,10 +502,9 @@
             len(self.channel.pushes) < ORDINARY_PART * (self.terms.pushes_allowed or 1e9))
 
     def _emit(self) -> list[Order]:
-        """Orders the difference between the wanted and the present state, as the channel allows.
+        """Orders the difference between wanted and present state, as the channel allows.
 
-        Withdrawals, the tables that one leaves bare, and returns go at once, from a reserve; the
-        rest waits until most proxies have confirmed the last seal.
+        Withdrawals and bare tables go at once, from a reserve; the rest waits for most confirmations.
         """
         orders: list[Order] = []
         if self.dirty:
@@ -542,8 +538,10 @@
             self._list_owed()
         # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given.
         stripped = [one for one in self.owed if bare(one.lines)]
-        if room - spared > worth(sum(len(one.owed) for one in stripped), BARE_PART):
-            room = self._pay(stripped, room - spared, orders) + spared
+        if room - spared > worth(len(stripped), BARE_PART):     # their main lines only: the rest can wait
+            for one in stripped:
+                one.owed = sorted(one.owed, key=lambda order: -getattr(order, "weight", 0.0))[:1]
+            room, self.dirty = self._pay(stripped, room - spared, orders) + spared, True
         if self._may_push():
             room, kept = room - kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
@@ -600,11 +598,12 @@
             if not one.owed or room <= len(one.owed):
                 continue
             room, orders[len(orders):] = room - len(one.owed), one.owed
-            one.moved_at, one.levels = self.now if one.shifts else one.moved_at, self._levels(one)
+            one.moved_at = self.now if one.shifts else one.moved_at
             for order in one.owed:
-                if type(order) is SetLine:
-                    one.lines = {} if self.terms.one_owner else one.lines
-                    one.lines[order.backend] = order.weight
+                if type(order) is SetLevel:
+                    one.levels = self._levels(one)
+                else:
+                    one.lines = {**({} if self.terms.one_owner else one.lines), order.backend: order.weight}
             one.lines, one.owed = {b: w for b, w in one.lines.items() if w}, []
         self.owed = [one for one in self.owed if one.owed]
         return room
--- a/tests/play.py
+++ b/tests/play.py
@@ -5,7 +5,7 @@
 
     terms KEY=VALUE ..      the site's terms, before anything else
     at T                    play on until T: timers, standing reports and confirmations come as they fall due
-    list a ready|draining|gone [zone=Z] [size=S] [started=T]     news of one backend
+    list a ready|draining|gone [zone=Z] [size=S] [started=T]     news of one backend, or a,b
     fleet a b c             ready backends, in zones 0, 1, 2, 0 and so on
     missed                  the list could not be had
     join N .. / leave N     proxies come, one goes
@@ -131,8 +131,8 @@
     def do_list(self, name: str, phase: str, *pairs: str) -> None:
         facts = dict(pair.split("=") for pair in pairs)
         self.tell(FleetNews(Form.DELTA, [Listing(
-            self.name(Backend, name), int(facts.get("zone", 0)), 0, Phase(phase),
-            float(facts.get("started", 0)), float(facts.get("size", 1)))]))
+            self.name(Backend, one), int(facts.get("zone", 0)), 0, Phase(phase),
+            float(facts.get("started", 0)), float(facts.get("size", 1))) for one in name.split(",")]))
 
     def do_missed(self) -> None:
         self.tell(FleetNews(Form.MISSED, []))
