--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -22,6 +22,7 @@
 LOW_SPAN = 60_000.0         # a backend's own lowest latency is of this long
 ROUND_EVERY = 1_000.0
 MOVE_BUDGET = 4             # moves a round; the page starts with 2
+FILL_BUDGET = 0.3           # of the backends that may be filled a round, if that is more
 REST = 30_000.0             # of a moved slice
 COOL_OFF = 3_000.0
 PUSH_AFTER = 2_000.0        # without most confirmations
@@ -344,9 +345,10 @@
         The loop empties violators alone, and an unheard backend ranks as average, so an enlarged fleet would
         stay idle. It has a budget of its own. Harm: keys go cold for a return that nobody needed.
         """
-        mean, budget = self._mean_heat(), MOVE_BUDGET
+        mean = self._mean_heat()
+        budget = max(MOVE_BUDGET, FILL_BUDGET * sum(self._usable(b) for b in self.backends))
         for target in self.backends:
-            if not budget or target in used or target.eased_from is None or not self._usable(target) \
+            if budget < 1 or target in used or target.eased_from is None or not self._usable(target) \
                     or target.heat > FILL_PART * mean * target.size * self._share(target):
                 continue
             fits = [s for s in self.slices if s.rests_until <= self.now and s.owner and s.owner.strikes
