--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -321,35 +321,35 @@
         """One round of the placement loop: worst violator first, hottest slices first."""
         for backend in self.backends:
             backend.outcomes.halve()
-        middle = self._median()
+        middle, used = self._median(), {}
         violators = sorted((b for b in self.backends if self._open(b) and b.ratio is not None
                             and b.strikes >= VIOLATOR_REPORTS), key=lambda b: -b.ratio)
         former, self.plan_worst = self.plan_worst, violators[0].ratio / middle if violators else 0.0
         if self.plan and self.plan_worst > former:
             self._cancel()
-        if self.plan or self.now < self.cool_until or not self.terms.sliced or self.terms.one_owner:
+        if not self.terms.sliced or self.terms.one_owner:
             return
-        budget, used = MOVE_BUDGET, {}
+        budget = 0 if self.plan or self.now < self.cool_until else MOVE_BUDGET
         for violator in violators:
             for one in sorted((s for s in self.slices if s.owner is violator and s.rests_until <= self.now
                                and s.heat >= WORTH_MOVING * violator.heat), key=lambda s: -s.heat):
                 target = self._target(one, violator, middle, used) if len(used) < budget else None
                 if target:
-                    used[target] = None
+                    used[target], self.plan[one] = None, one.owner
                     self._move(one, target)
         self._fill(used)
 
     def _fill(self, used: dict) -> None:
         """Gives backends that started while we watched, and stand empty, a slice each from the most crowded.
 
-        The loop empties violators alone, and an unheard backend ranks as average, so an enlarged fleet would
-        stay idle. It has a budget of its own. Harm: keys go cold for a return that nobody needed.
+        The loop empties violators alone and ranks the unheard as average: an enlarged fleet would stay idle.
+        It only relieves, so plans and cool-offs do not hold it. Harm: keys go cold for a needless return.
         """
         mean = self._mean_heat()
         budget = max(MOVE_BUDGET, FILL_BUDGET * sum(self._usable(b) for b in self.backends))
         for target in self.backends:
             if budget < 1 or target in used or target.eased_from is None or not self._usable(target) \
-                    or target.heat > FILL_PART * mean * target.size * self._share(target):
+                    or target.home_heat > FILL_PART * mean * target.size * self._share(target):
                 continue
             fits = [s for s in self.slices if s.rests_until <= self.now and s.owner and s.owner.strikes
                     and self._fits(s, s.owner, target)]
@@ -359,8 +359,8 @@
 
     def _fits(self, one: Slice, source: Backend, target: Backend) -> bool:
         """A slice's heat counts twice, as its keys are cold there: no move may make a new worst."""
-        return (target.heat + COLD_KEYS * one.heat < source.heat * target.size / source.size
-                and self._room(target, one))
+        due = target.heat + COLD_KEYS * one.heat
+        return due < source.heat * target.size / source.size and self._room(target, one)
 
     def _target(self, one: Slice, source: Backend, middle: float, used: dict) -> Optional[Backend]:
         """The lowest-ratio server at or below the median that the slice fits on; unheard is average."""
@@ -370,7 +370,6 @@
         return min(fits, key=lambda b: (ratios[b], b.heat / b.size), default=None)
 
     def _move(self, one: Slice, target: Backend) -> None:
-        self.plan[one] = one.owner
         self.said.append(Say(
             f"move slice {one.number} of heat {one.heat * 1000:.1f}/s from {one.owner.ep.hex()}"
             f" ({one.owner.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
@@ -423,10 +422,10 @@
         self._weigh()
         ready = [b for b in self.backends if b.phase is Phase.READY]
         usable = [b for b in ready if self._usable(b)] or ready
-        for backend in usable:      # whoever runs is better than nobody
-            backend.shut_until = min(backend.shut_until, self.now)
         if not ready:
             return
+        for backend in usable:      # whoever runs is better than nobody
+            backend.shut_until = min(backend.shut_until, self.now)
         for one in sorted((s for s in self.slices if s.owner is None or s.owner.phase is not Phase.READY),
                           key=lambda s: -s.heat):
             one.owner = self._refuge(one, usable)
@@ -528,8 +527,7 @@
             if not backend.shut_out and self._must_out(backend) and room > (
                     1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
                 orders.append(ShutOut(backend, True))
-                room -= 1
-                backend.shut_out = self.dirty = True
+                backend.shut_out, self.dirty, room = True, True, room - 1
         # Who joined late has missed the withdrawals so far: told together, as each push costs its head.
         missed = [b for b in self.untold if b.shut_out and any(b in one.lines for one in self.slices)]
         if self.now >= self.untold_at and room > worth(len(missed), URGENT_PART):
@@ -553,12 +551,11 @@
                 room = self._pay(self.owed, room, orders)
         for backend in self.backends:
             if backend.shut_out and room > kept + 1 and self._open(backend) and not self._over(backend):
-                backend.shut_out, self.dirty = False, True
+                backend.shut_out, self.dirty, room = False, True, room - 1
                 self._forget(backend)
                 for one in (s for s in self.slices if backend in s.lines):
                     one.moved_at = self.now
                 orders.append(ShutOut(backend, False))
-                room -= 1
         for proxy in () if self.terms.sliced else [p for p in self.proxies if not p.bound]:
             if all(one.lines for one in self.slices):
                 proxy.bound = True
