--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -242,6 +242,7 @@
         if backend.ok:
             backend.took = backend.took_sum / backend.ok
             backend.lows.add(self.now, backend.took)
+            backend.slow = (backend.slow + backend.took) / 2
             backend.ratio, backend.heard_at = backend.took / max(backend.lows.value(), 1e-3), self.now
         elif self.now - (backend.heard_at or 0.0) > UNHEARD_AFTER * self.horizon:
             backend.ratio = None
@@ -296,7 +297,7 @@
         opened = [b for b in self.backends if self._open(b)]
         judged = {b: b.outcomes.share_from(WRONG) for b in opened if b.outcomes.total() >= BAD_LEAST}
         mark = max(BAD_SHARE, BAD_OVER_MEDIAN * median(judged.values() or [0.0]))
-        sick = [b for b in opened if not self._crowded(b)
+        sick = [b for b in opened if not (self._crowded(b) or b.slow > STRESS_LOW * self.soft)
                 and judged.get(b, 0.0) >= (mark if b.ok and b.ratio <= QUICK else ALL_BAD)
                 or b.dry >= DRY_LEAST and self.now - (b.heard_at or 0.0) > max(2 * self.horizon, max(
                     m.deadline if self._crowded(b) else m.soft_deadline for m in self.terms.methods))]
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -85,6 +85,7 @@
     outcomes: Histogram = field(default_factory=lambda: Histogram((0.5,)))     # 0 went well, 1 went wrong
     shut_until: float = 0.0
     trips: int = 0
+    slow: float = 0.0                          # mean latency of late, smoothed
     on_trial: bool = False                     # was shut, and has not answered well since
     dry: float = 0.0                           # asked since a try last went well
     eased_from: Optional[float] = None
