The horizon is the mean span of a report, by its tries, not the longest

Cause: a seldom asked pair has a long span; the horizon stood at 5.5 s where busy backends report every 2 s, so silence was believed late and levels came back late.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -48,7 +48,7 @@
 UNSEEN_PART = 0.5           # of the mean heat: room on a backend easing in, before any RPC is seen to go well
 UNHEARD_AFTER = 3.0         # horizons of the reports
 SETTLED_AFTER = 3.0         # horizons: older moves show in reports
-HORIZON_FADES = 0.95        # each period
+HORIZON_NEW = 0.25          # a period's part in the horizon
 ORDINARY_PART = 0.4         # of the channel's queue is for what can wait
 BARE_PART, URGENT_PART = 0.65, 0.9  # for tables left bare; for withdrawals, never long on their way
 JOINS_GATHER = 0.25         # of the push timer: before late joiners are told what they missed
@@ -56,8 +56,9 @@
 LET_ALL = 1e9               # a level, be it a fraction or a rate
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
 LET_CUT = 0.7, 0.8          # less is let in: times the part that goes well, within these
-LET_STEP, LET_LEAST = 0.1, 0.35     # back by so much each horizon, when it shows in reports; never less
+LET_STEP, LET_EVERY, LET_LEAST = 0.1, 2.0, 0.35     # back by so much in so many horizons; never less
 SLOWEST = 6.0               # the channel may send so many times slower; older lines are out for sure
+NEVER = float("inf")
 WELL, WRONG = 0.0, 1.0      # outcomes of a try
 DRY_LEAST = 8.0             # RPCs asked with none going well for the longest soft deadline: it hangs
 HEALED_PART = 0.3           # of the warm-up: a backend back from being shut eases in this fast
@@ -83,10 +84,11 @@
             SealConfirmed: lambda event: self.channel.confirmed(event.seal, event.proxy)}
         self.dirty = self.levels_due = True
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
-        self.follow_at: Optional[float] = 0.0 if terms.news_on_request else None
+        self.follow_at = 0.0 if terms.news_on_request else NEVER
         self.untold: dict[Backend, None] = {}       # withdrawals that who joined has missed
         self.untold_at = 0.0                        # when they are told
-        self.horizon = terms.report_every           # the longest span that a report covered of late
+        self.horizon = terms.report_every           # the mean span of a report of late, by its tries
+        self.spans = 0.0, 0.0                       # of this period's reports, times their tries; the tries
         self.good = 1.0                             # part of all tries that goes well
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
@@ -148,7 +150,7 @@
 
     def _note_tries(self, report: TriesReport) -> None:
         backend, ok = report.backend, max(report.total - report.aborted, 0)
-        self.horizon = max(self.horizon, report.span)
+        self.spans = self.spans[0] + report.span * report.total, self.spans[1] + report.total
         backend.ok += ok
         backend.aborted += report.aborted
         backend.took_sum += ok * report.took
@@ -158,7 +160,6 @@
         one.let_in += report.total * one.levels[report.method in self.ranks[1]]
         rate = report.total / max(report.span, 1.0)
         one.rates[report.method] = (one.rates.get(report.method, (rate, 0.0))[0] + rate) / 2, self.now
-        self.horizon = max(self.horizon, report.span)
 
     def _note_lease(self, event: Leased) -> None:
         one = event.slice
@@ -218,7 +219,9 @@
 
     def _fold(self) -> None:
         """Takes in a period's reports: heat of slices, ratios of backends, who is sick."""
-        self.horizon = max(self.horizon * HORIZON_FADES, self.terms.report_every)
+        (span, tries), self.spans = self.spans, (0.0, 0.0)
+        span = max(span / tries, self.terms.report_every) if tries else self.horizon
+        self.horizon += (span - self.horizon) * HORIZON_NEW
         for one in self.slices:
             for method, (rate, at) in one.rates.items():    # silence means no RPC only where lines get in
                 if self.now - at > UNHEARD_AFTER * self.horizon:
@@ -274,7 +277,7 @@
             well = sum(b.ok for b in here) / sum(b.ok + b.aborted for b in here)
             if stress > STRESS_HIGH:
                 self.let[zone] = max(let * min(max(well, LET_CUT[0]), LET_CUT[1]), LET_LEAST), self.now
-            elif stress < STRESS_LOW and self.now - since > self.horizon:
+            elif stress < STRESS_LOW and self.now - since > LET_EVERY * self.horizon:
                 self.let[zone] = min(let + LET_STEP, 1.0), self.now
 
     def _judge_ratios(self) -> None:
@@ -371,9 +374,8 @@
         return min(fits, key=lambda b: (ratios[b], b.heat / b.size), default=None)
 
     def _move(self, one: Slice, target: Backend) -> None:
-        self.said.append(Say(
-            f"move slice {one.number} of heat {one.heat * 1000:.1f}/s from {one.owner.ep.hex()}"
-            f" ({one.owner.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
+        self.said.append(Say(f"move slice {one.number} of heat {one.heat * 1000:.1f}/s from {one.owner.ep.hex()}"
+                             f" ({one.owner.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
         one.owner.heat, target.heat = one.owner.heat - one.heat, target.heat + one.heat
         target.home_heat += one.heat
         one.owner, one.rests_until = target, self.now + REST
@@ -499,9 +501,9 @@
                            key=lambda s: (not s.shifts, -(s.heat or 0.0)))
 
     def _may_push(self) -> bool:
-        return (self.now - self.channel.pushed_at >= PUSH_AFTER
-                or self.channel.unconfirmed() <= MOST * len(self.proxies)) and (
-            len(self.channel.pushes) < ORDINARY_PART * (self.terms.pushes_allowed or 1e9))
+        late, most = self.now - self.channel.pushed_at >= PUSH_AFTER, self.terms.pushes_allowed or NEVER
+        return (late or self.channel.unconfirmed() <= MOST * len(self.proxies)) and (
+            len(self.channel.pushes) < ORDINARY_PART * most)
 
     def _emit(self) -> list[Order]:
         """Orders the difference between wanted and present state, as the channel allows.
@@ -522,8 +524,7 @@
             """The room that makes a push worth its head: for all, or as much again, or half of the most."""
             return min(lines, head, (whole * part - head) / 2)
 
-        if len(self.channel.pushes) >= (self.terms.pushes_allowed or 1e9):
-            room = 0.0
+        room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
         for backend in self.backends:
             if not backend.shut_out and self._must_out(backend) and room > (
                     1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
@@ -557,10 +558,9 @@
                 for one in (s for s in self.slices if backend in s.lines):
                     one.moved_at = self.now
                 orders.append(ShutOut(backend, False))
-        for proxy in () if self.terms.sliced else [p for p in self.proxies if not p.bound]:
-            if all(one.lines for one in self.slices):
-                proxy.bound = True
-                orders += [BindProxy(one, proxy) for one in self.slices]
+        for proxy in () if self.terms.sliced or not all(one.lines for one in self.slices) else self.proxies:
+            orders += [] if proxy.bound else [BindProxy(one, proxy) for one in self.slices]
+            proxy.bound = True
         if orders:
             self.seal = self.seal % 65_000 + 1
             lines = len(orders) + head + (0 if self.terms.sliced else len(self.backends))
@@ -569,8 +569,8 @@
         # A plan has run once its tables were sent and most proxies confirmed them.
         if self.plan and not any(one.owed and one.shifts for one in self.plan) and self._may_push():
             self.plan.clear()
-        if self.follow_at is not None and self.now >= self.follow_at:
-            self.follow_at = None
+        if self.now >= self.follow_at:
+            self.follow_at = NEVER
             orders.append(FollowList(True))
         if self.now >= self.wake_at:
             beat = min(self.terms.report_every, ROUND_EVERY) / 2
