--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -42,7 +42,7 @@
 BAD_LEAST = 4.0             # tries, before they are judged
 BROAD_SHARE, BROAD_MOST = 0.1, 0.2     # so much goes wrong at so much of the fleet: nobody is singled out
 SHUT_FIRST = 8_000.0        # a sick backend's first time out; doubles
-FILL_PART = 0.7             # of its part of the mean heat: under it a started backend is filled
+FILL_PART, FILL_FROM = 0.7, 1.5     # of its part of the mean heat: under it a new one is filled, from over it
 WORTH_MOVING = 0.05         # of a violator's heat: a cooler slice would only use up a destination
 COLD_KEYS = 2.0             # times a moved slice's heat, on its new server
 UNSEEN_PART = 0.5           # of the mean heat: room on a backend easing in, before any RPC is seen to go well
@@ -131,8 +131,7 @@
                 backend.eased_from, backend.ease_span = entry.started, self.terms.warm_up
                 backend.shut_until, backend.on_trial = 0.0, False
                 self._forget(backend)
-            backend.zone, backend.cell, backend.phase = entry.zone, entry.cell, entry.phase
-            backend.started = entry.started
+            backend.zone, backend.phase, backend.started = entry.zone, entry.phase, entry.started
             backend.size = entry.size if self.terms.sizes_told and entry.size > 0 else 1.0
         for backend in self.backends if news.form is not Form.DELTA else ():
             backend.phase = backend.phase if backend in listed else Phase.GONE
@@ -355,8 +354,8 @@
             if budget < 1 or target in used or target.eased_from is None or not self._usable(target) \
                     or target.home_heat > FILL_PART * mean * target.size * self._share(target):
                 continue
-            fits = [s for s in self.slices if s.rests_until <= self.now and s.owner and s.owner.strikes
-                    and self._fits(s, s.owner, target)]
+            fits = [s for s in self.slices if s.rests_until <= self.now and s.owner and (s.owner.strikes or (
+                s.owner.heat > FILL_FROM * mean * s.owner.size)) and self._fits(s, s.owner, target)]
             if fits:
                 budget -= 1
                 self._move(max(fits, key=lambda s: (s.owner.ratio or 0.0, s.heat)), target)
@@ -374,9 +373,10 @@
         return min(fits, key=lambda b: (ratios[b], b.heat / b.size), default=None)
 
     def _move(self, one: Slice, target: Backend) -> None:
-        self.said.append(Say(f"move slice {one.number} of heat {one.heat * 1000:.1f}/s from {one.owner.ep.hex()}"
-                             f" ({one.owner.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
-        one.owner.heat, target.heat = one.owner.heat - one.heat, target.heat + one.heat
+        source, rate = one.owner, one.heat * 1000
+        self.said.append(Say(f"move slice {one.number} of heat {rate:.1f}/s from {source.ep.hex()}"
+                             f" ({source.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
+        source.heat, target.heat = source.heat - one.heat, target.heat + one.heat
         target.home_heat += one.heat
         one.owner, one.rests_until = target, self.now + REST
         self.dirty = True
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -67,7 +67,6 @@
     """A backend as listed, and the working memory that the decisions keep of it."""
     ep: Any
     zone: int = 0
-    cell: int = 0
     phase: Phase = Phase.GONE
     started: float = 0.0
     size: float = 1.0
