--- a/tests/play.py
+++ b/tests/play.py
@@ -10,7 +10,7 @@
     missed                  the list could not be had
     join N .. / leave N     proxies come, one goes
     given S a:W b:W / taken S
-    heard a TOTAL ABORTED TOOK / heat S N      a standing report, from now on each period; 0 ends it
+    heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
     confirm yes|no          whether seals are confirmed (after 100 ms)
     kill                    the instance dies; the next one knows nothing
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
@@ -86,7 +86,8 @@
             (self.out.add if order.out else self.out.discard)(order.backend)
         elif isinstance(order, SetLevel):
             assert order.retry <= Retry.NEVER_RAN, "an effect may come twice"
-            self.levels.update({(order.slice, k): min(order.level, 1.0) for k in order.methods})
+            for slice_ in [order.slice] if order.slice else self.tables:
+                self.levels.update({(slice_, k): min(order.level, 1.0) for k in order.methods})
         elif isinstance(order, Wake):
             self.due.append((self.now + order.delay, [TimerDue(order.handle)], 0))
         elif isinstance(order, Say):
@@ -166,9 +167,10 @@
         self.reports["heard", name] = lambda: TriesReport(
             0, self.name(Backend, name), int(total), int(aborted), float(took), self.terms.report_every, ())
 
-    def do_heat(self, number: str, total: str) -> None:
-        self.reports["heat", number] = lambda: SliceHeat(
-            self.name(Slice, number), 0, int(total), 0, self.terms.report_every)
+    def do_heat(self, number: str, total: str, periods: str = "1") -> None:
+        span = self.terms.report_every * int(periods)
+        self.reports["heat", number] = lambda: TimerDue(0) if self.now % span else SliceHeat(
+            self.name(Slice, number), 0, int(total), 0, span)
 
     def do_confirm(self, word: str) -> None:
         self.confirming = word == "yes"
@@ -199,7 +201,7 @@
 
     def do_level(self, number: str, method: str, part: str) -> None:
         key = self.name(Slice, number), int(method)
-        found = self.levels.get(key, self.levels.get((None, int(method))))
+        found = self.levels.get(key)
         assert found is not None and abs(found - float(part)) < 1e-6, f"it is {found}"
 
     def do_said(self, *words: str) -> None:
