Missed withdrawals leave the reserve to new ones; a small channel keeps back less

The parts kept back now shrink where a channel holds little more than heads: there nothing ordinary went out. Harm: late joiners are told a little later.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -49,8 +49,8 @@
 UNHEARD_AFTER = 3.0         # horizons of the reports
 SETTLED_AFTER = 3.0         # horizons: older moves show in reports
 HORIZON_NEW = 0.25          # a period's part in the horizon
-ORDINARY_PART = 0.4         # of the channel's queue is for what can wait
-BARE_PART, URGENT_PART = 0.65, 0.9  # for tables left bare; for withdrawals, never long on their way
+URGENT_PART = 0.9           # of the channel's queue is in use; of it are kept back
+KEPT_PART, SPARED_PART = 0.5, 0.25  # from what can wait; from bare tables and late joiners: for withdrawals
 JOINS_GATHER = 0.25         # of the push timer: before late joiners are told what they missed
 LEVELS = 4                  # steps between none and all: each costs a line a slice
 LET_ALL = 1e9               # a level, be it a fraction or a rate
@@ -124,8 +124,7 @@
         listed = {}
         for entry in news.listings:
             backend = entry.backend
-            listed[backend] = None
-            self.backends.setdefault(backend)
+            listed[backend] = self.backends.setdefault(backend)
             # A fresh start is a fresh backend, listed as gone in between or not: old tables may flood it.
             if entry.started > backend.started and entry.started + self.terms.warm_up > self.now:
                 backend.eased_from, backend.ease_span = entry.started, self.terms.warm_up
@@ -503,7 +502,7 @@
     def _may_push(self) -> bool:
         late, most = self.now - self.channel.pushed_at >= PUSH_AFTER, self.terms.pushes_allowed or NEVER
         return (late or self.channel.unconfirmed() <= MOST * len(self.proxies)) and (
-            len(self.channel.pushes) < ORDINARY_PART * most)
+            len(self.channel.pushes) < (1.0 - KEPT_PART) * most)
 
     def _emit(self) -> list[Order]:
         """Orders the difference between wanted and present state, as the channel allows.
@@ -517,13 +516,13 @@
                             self.now - self.terms.update_window)
         each, head = max(len(self.proxies), 1), self.terms.head_lines + 1
         whole = self.terms.pending_max / each
-        room = whole * URGENT_PART - self.channel.waiting() / each - head
-        kept, spared = whole * (URGENT_PART - ORDINARY_PART), whole * (URGENT_PART - BARE_PART)
+        most = whole * URGENT_PART - head       # that is ever free; a small channel keeps back less of it
+        room = most - self.channel.waiting() / each
+        kept, spared = min(whole * KEPT_PART, most / 2), min(whole * SPARED_PART, most / 4)
 
-        def worth(lines: int, part: float) -> float:
+        def worth(lines: int, back: float) -> float:
             """The room that makes a push worth its head: for all, or as much again, or half of the most."""
-            return min(lines, head, (whole * part - head) / 2)
-
+            return min(lines, head, (most - back) / 2)
         room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
         for backend in self.backends:
             if not backend.shut_out and self._must_out(backend) and room > (
@@ -532,24 +531,24 @@
                 backend.shut_out, self.dirty, room = True, True, room - 1
         # Who joined late has missed the withdrawals so far: told together, as each push costs its head.
         missed = [b for b in self.untold if b.shut_out and any(b in one.lines for one in self.slices)]
-        if self.now >= self.untold_at and room > worth(len(missed), URGENT_PART):
-            told, self.untold = missed[:int(room)], dict.fromkeys(missed[int(room):])
+        if self.now >= self.untold_at and room - spared > worth(len(missed), spared):
+            told, self.untold = missed[:int(room - spared)], dict.fromkeys(missed[int(room - spared):])
             orders += [ShutOut(b, True) for b in told]
             room -= len(told)
         if self.dirty:
             self._list_owed()
         # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given.
         stripped = [one for one in self.owed if bare(one.lines)]
-        if room - spared > worth(len(stripped), BARE_PART):     # their main lines only: the rest can wait
+        if room - spared > worth(len(stripped), spared):     # their main lines only: the rest can wait
             for one in stripped:
                 one.owed = sorted(one.owed, key=lambda order: -getattr(order, "weight", 0.0))[:1]
             room, self.dirty = self._pay(stripped, room - spared, orders) + spared, True
         if self._may_push():
-            room, kept = room - kept, 0.0
+            room, back, kept = room - kept, kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
                 self.levels_due = False
                 orders.append(SetLevel(self.ranks[0] + self.ranks[1], None, LET_ALL, Retry.NEVER_RAN))
-            if orders or room > worth(sum(len(one.owed) for one in self.owed), ORDINARY_PART):
+            if orders or room > worth(sum(len(one.owed) for one in self.owed), back):
                 room = self._pay(self.owed, room, orders)
         for backend in self.backends:
             if backend.shut_out and room > kept + 1 and self._open(backend) and not self._over(backend):
