--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -468,8 +468,8 @@
         """
         want, have = one.wanted, one.lines
         stale = [] if self.terms.one_owner else [SetLine(one, b, 0.0) for b in have if b not in want]
-        dead = [order for order in stale if order.backend.phase is not Phase.READY
-                and part_if_in(have, order.backend) > NEAR]
+        dead = [o for o in stale if o.backend.phase is not Phase.READY and part_if_in(have, o.backend) > NEAR
+                or self._open(o.backend) and o.backend.shut_out and self._share(o.backend) < 1]
         if not self.terms.sliced or self.terms.one_owner:
             return [SetLine(one, b, w) for b, w in want.items() if have.get(b) != w] + stale
         main = max(want, key=want.get)
@@ -520,8 +520,7 @@
         room = most - self.channel.waiting() / each
         kept, spared = min(whole * KEPT_PART, most / 2), min(whole * SPARED_PART, most / 4)
 
-        def worth(lines: int, back: float) -> float:
-            """The room that makes a push worth its head: for all, or as much again, or half of the most."""
+        def worth(lines: int, back: float) -> float:    # the room at which a push is worth its head
             return min(lines, head, (most - back) / 2)
         room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
         for backend in self.backends:
@@ -587,9 +586,10 @@
                    for one in self.slices if backend in one.wanted)
 
     def _over(self, backend: Backend) -> bool:
-        """Whether some table gives a backend more than is wanted, or would, were it let in."""
-        return any(part_if_in(one.lines, backend) > one.wanted.get(backend, 0.0) / (
-            sum(one.wanted.values()) or 1.0) + NEAR for one in self.slices if backend in one.lines)
+        """Whether a table gives a backend more than is wanted; a trace brings the cold what others refuse."""
+        return any(part_if_in(one.lines, backend) - NEAR > one.wanted.get(backend, 0.0) / (
+            sum(one.wanted.values()) or 1.0) or self._share(backend) < 1 and backend not in one.wanted
+                   for one in self.slices if backend in one.lines)
 
     def _pay(self, owed: list[Slice], room: float, orders: list[Order]) -> float:
         """Writes the lines that tables are owed, as far as there is room."""
