News closed by the first sign of life; given tables told whole; unknown calls repeated

At fault: wire/news.py told each line at once. It closes what stands; so does an answer to a seal. Ruled out: a mark of its own, a count. - A call of unknown fate is repeated when the module says so (RepeatCall), as its lines may be in the channel twice; a proxy's answer to its seal shows that it ran.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -4,6 +4,8 @@
 >>> books.sent(1, 10.0, ["p", "q"], 0.0)
 >>> books.confirmed(1, "p"); books.waiting(), books.unconfirmed()
 (10.0, 1)
+>>> books.repeated(1, 5.0); books.waiting(), books.cost(1)
+(20.0, 10.0)
 >>> books.confirmed(1, "q"); books.waiting(), books.unconfirmed()
 (0.0, 0)
 """
@@ -35,6 +37,18 @@
         while len(self.flight) > 1 and not self.flight[0][2]:
             self.flight.popleft()
 
+    def cost(self, seal: int) -> float:
+        """Lines for each receiver of what went out under a seal."""
+        return next((lines for number, lines, _, _ in self.flight if number == seal), 0.0)
+
+    def repeated(self, seal: int, now: float) -> None:
+        """Books once more what went out under a seal."""
+        found = next(((lines, missing) for number, lines, missing, _ in self.flight if number == seal), None)
+        if found:
+            self.flight.append((seal, found[0], dict(found[1]), now))
+        self.pushes.append(now)
+        self.pushed_at = now
+
     def forget(self, sent_before: float, pushed_before: float) -> None:
         """Takes off the books what is that old, confirmed or not."""
         while self.flight and self.flight[0][3] < sent_before:
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -11,9 +11,9 @@
 
 from lifthinge.channel import Channel
 from lifthinge.interface import (
-    Backend, BindProxy, ChannelFree, Event, FleetNews, FollowList, Form, Leased, Order, Phase, Proxy,
-    ProxyJoined, ProxyLeft, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut, SiteTerms, Slice,
-    SliceHeat, StoredLine, TriesReport, Wake)
+    Backend, BindProxy, ChannelState, Event, FleetNews, FollowList, Form, Leased, Order, Phase, Proxy,
+    ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
+    SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
 from lifthinge.tables import bare, part_if_in, parts
 
 # The mechanism, as the design page settles it.
@@ -81,9 +81,9 @@
             FleetNews: self._note_fleet, ProxyJoined: self._note_join, TriesReport: self._note_tries,
             SliceHeat: self._note_heat, Leased: self._note_lease, StoredLine: self._note_line,
             ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
-            ChannelFree: lambda event: setattr(self, "free", event.free),
+            ChannelState: lambda event: setattr(self, "way", event),
             SealConfirmed: lambda event: self.channel.confirmed(event.seal, event.proxy)}
-        self.dirty = self.levels_due = self.free = True
+        self.dirty = self.levels_due = True
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at = 0.0 if terms.news_on_request else NEVER
         self.untold: dict[Backend, None] = {}       # withdrawals that who joined has missed
@@ -95,8 +95,7 @@
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
         self.let: dict[int, tuple[float, float]] = {}   # zone: part that is let in, and since when
         self.plan: dict[Slice, Backend] = {}        # moves that still run: slice to former owner
-        self.seal = 0
-        self.channel = Channel()
+        self.seal, self.channel, self.way = 0, Channel(), ChannelState(True)
         self.said: list[Order] = []
         self.owed: list[Slice] = []                 # tables to be written, in order of worth
         if not terms.sliced:
@@ -172,8 +171,7 @@
     def _note_line(self, event: StoredLine) -> None:
         one = event.slice
         if one.held and event.weight > 0:
-            self.backends.setdefault(event.backend)
-            one.lines[event.backend] = event.weight
+            self.backends[event.backend], one.lines[event.backend] = None, event.weight
             one.owner = max(one.lines, key=lambda b: (b.phase is Phase.READY, one.lines[b]))
 
     # What it means.
@@ -310,7 +308,7 @@
                 backend.shut_until = self.now
             return
         for backend in sick:
-            self.said.append(Say(f"shut out {backend.ep.hex()}: {judged.get(backend, 0):.0%} of its tries"
+            self.said.append(Say(f"shut out {backend.name}: {judged.get(backend, 0):.0%} of its tries"
                                  f" went wrong, {backend.dry:.0f} asked since one went well"))
             backend.shut_until = self.now + SHUT_FIRST * 2 ** min(backend.trips, 2)
             backend.eased_from, backend.ease_span = backend.shut_until, HEALED_PART * self.terms.warm_up
@@ -373,8 +371,8 @@
 
     def _move(self, one: Slice, target: Backend) -> None:
         source, rate = one.owner, one.heat * 1000
-        self.said.append(Say(f"move slice {one.number} of heat {rate:.1f}/s from {source.ep.hex()}"
-                             f" ({source.ratio or 0:.1f}) to {target.ep.hex()} ({target.ratio or 0:.1f})"))
+        self.said.append(Say(f"move slice {one.number} of heat {rate:.1f}/s from {source.name}"
+                             f" ({source.ratio or 0:.1f}) to {target.name} ({target.ratio or 0:.1f})"))
         source.heat, target.heat = source.heat - one.heat, target.heat + one.heat
         target.home_heat += one.heat
         one.owner, one.rests_until = target, self.now + REST
@@ -442,8 +440,7 @@
         spare = None if self.terms.one_owner else self._spare(one, warm)
         if spare is None:
             return {one.owner: 1.0}
-        spare.spare_heat += one.heat
-        part = self._part(one.owner)
+        spare.spare_heat, part = spare.spare_heat + one.heat, self._part(one.owner)
         return {one.owner: part, spare: 1.0 - part} if part else {spare: 1.0}
 
     def _refuge(self, one: Slice, usable: list[Backend]) -> Backend:
@@ -522,7 +519,12 @@
 
         def worth(lines: int, back: float) -> float:    # the room at which a push is worth its head
             return min(lines, head, (most - back) / 2)
-        room *= self.free and len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
+        room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
+        unrun = self.now - self.channel.pushed_at >= PUSH_AFTER  # a call of unknown fate: none confirmed it
+        if self.way.unknown and room > (0.0 if unrun else self.channel.cost(self.way.unknown)):
+            self.channel.repeated(self.way.unknown, self.now)
+            self.said.append(RepeatCall(self.way.unknown))
+        room *= self.way.free
         for backend in self.backends:
             if not backend.shut_out and self._must_out(backend) and room > (
                     1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
@@ -556,7 +558,7 @@
                 for one in (s for s in self.slices if backend in s.lines):
                     one.moved_at = self.now
                 orders.append(ShutOut(backend, False))
-        for proxy in self.proxies if self.free and not self.terms.sliced else ():
+        for proxy in self.proxies if self.way.free and not self.terms.sliced else ():
             orders += [BindProxy(one, proxy) for one in self.slices if one.lines and not proxy.bound]
             proxy.bound = all(one.lines for one in self.slices)
         if orders:
@@ -568,11 +570,9 @@
         if self.plan and not any(one.owed and one.shifts for one in self.plan) and self._may_push():
             self.plan.clear()
         if self.now >= self.follow_at:
-            self.follow_at = NEVER
-            orders.append(FollowList(True))
+            self.follow_at, orders = NEVER, [*orders, FollowList(True)]
         if self.now >= self.wake_at:
-            beat = min(self.terms.report_every, ROUND_EVERY) / 2
-            self.wake_at = self.now + beat
+            self.wake_at = self.now + (beat := min(self.terms.report_every, ROUND_EVERY) / 2)
             orders.append(Wake(beat, 0))
         return orders
 
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -76,6 +76,7 @@
 class Backend:
     """A backend as listed, and the working memory that the decisions keep of it."""
     ep: Any
+    name: str
     zone: int = 0
     phase: Phase = Phase.GONE
     started: float = 0.0
@@ -230,13 +231,14 @@
 
 
 @dataclass(slots=True)
-class ChannelFree:
-    """Whether the channel takes orders now: not while what became of earlier ones is not known."""
+class ChannelState:
+    """Whether the channel takes orders now; the seal of a call of which it is not known whether it ran."""
     free: bool
+    unknown: int = 0
 
 
 Event = Union[FleetNews, TimerDue, ProbeResult, PeerNote, ProxyJoined, ProxyLeft, TriesReport, ProxyLoad,
-              SliceHeat, Leased, StoredLine, SealConfirmed, ChannelFree]
+              SliceHeat, Leased, StoredLine, SealConfirmed, ChannelState]
 
 
 # Orders
@@ -311,5 +313,11 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatCall:
+    """The call of this seal may go out again: if it ran, its lines are in the channel twice."""
+    seal: int
+
+
 Order = Union[SetLine, ClearTable, BindProxy, ShutOut, SetLevel, Seal, Wake, Probe, TellPeers, Say,
-              FollowList, FetchList]
+              FollowList, FetchList, RepeatCall]
--- a/lifthinge/memory/attempts.py
+++ b/lifthinge/memory/attempts.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """An attempt that brought no answer; only one sent wholly, or answered unreadably, may have been acted on."""
+    """An attempt that brought no answer; it may have been acted on if it was sent wholly."""
     reach: Reach
     cause: Cause
     detail: str = ""
--- a/lifthinge/memory/books.py
+++ b/lifthinge/memory/books.py
@@ -33,9 +33,9 @@
 
     async def pause(self, delay: float) -> None:
         """Waits on the one table of deadlines."""
-        over = asyncio.get_running_loop().create_future()
-        deadline = self.deadlines.set(delay, lambda: over.done() or over.set_result(None))
+        over = asyncio.Event()
+        deadline = self.deadlines.set(delay, over.set)
         try:
-            await over
+            await over.wait()
         finally:
             deadline.cancel()
--- a/lifthinge/memory/calls.py
+++ b/lifthinge/memory/calls.py
@@ -1,7 +1,7 @@
 """Orders that are not yet known to be carried out, in the order given.
 
 >>> from lifthinge.interface import Backend, Seal, SetLine, ShutOut, Slice
->>> one, a = Slice(4), Backend(b"a")
+>>> one, a = Slice(4), Backend("a", "a")
 >>> calls = Calls()
 >>> calls.add([(SetLine(one, a, 1.0), b"12345"), (ShutOut(a, True), b"123"), (Seal(7), b"12")])
 >>> [p.body for p in calls.front(9)], [p.body for p in calls.front(99)], calls.seal()
@@ -11,7 +11,7 @@
 ([b'12'], 1)
 """
 from dataclasses import dataclass
-from typing import Any, Iterable, Optional
+from typing import Iterable, Optional
 
 from lifthinge.interface import Order, Seal, Slice
 
--- a/lifthinge/memory/deadlines.py
+++ b/lifthinge/memory/deadlines.py
@@ -45,12 +45,14 @@
 class Deadlines:
     """`now` gives milliseconds; `schedule(delay, run)` arms the one timer and gives what cancels it."""
 
-    def __init__(self, now: Callable[[], float], schedule: Callable[[float, Callable[[], None]], Any]) -> None:
+    def __init__(self, now: Callable[[], float],
+                 schedule: Callable[[float, Callable[[], None]], Any]) -> None:
         self.now, self._schedule = now, schedule
         self._heap: list[Deadline] = []
         self._dead = self._count = 0
         self._timer: Any = None
         self._armed_for = float("inf")
+        self.latest = 0.0       # the longest that any was run after its time
 
     def __len__(self) -> int:
         return len(self._heap) - self._dead
@@ -75,6 +77,7 @@
         self._armed_for, now = float("inf"), self.now()
         while self._heap and self._heap[0].at <= now:
             deadline = heapq.heappop(self._heap)
+            self.latest = max(self.latest, now - deadline.at if deadline.pending else 0.0)
             action, deadline.action = deadline.action, None
             if action is None:
                 self._dead -= 1
--- a/lifthinge/memory/stand.py
+++ b/lifthinge/memory/stand.py
@@ -13,8 +13,8 @@
         self.joined: dict[Proxy, ProxyJoined] = {}
         self.lines: dict[Slice, dict[Backend, float]] = {}
 
-    def take(self, event: Event) -> bool:
-        """Whether it is part of what stands."""
+    def take(self, event: Event) -> None:
+        """Takes in what stands, and what changes while it is being told."""
         if isinstance(event, ProxyJoined):
             self.joined[event.proxy] = event
         elif isinstance(event, ProxyLeft):
@@ -25,12 +25,9 @@
                 self.lines[event.slice] = {}
         elif isinstance(event, StoredLine):
             self.lines.setdefault(event.slice, {})[event.backend] = event.weight
-        else:
-            return False
-        return True
 
     def difference(self, world: World, calls: Calls) -> list[Event]:
-        """What vanished, what is new, and tables that came to differ though no order is under way for them."""
+        """What vanished, what is new, and tables that differ though no order is under way for them."""
         told: list[Event] = [ProxyLeft(proxy) for proxy in world.joined if proxy not in self.joined]
         told += [event for proxy, event in self.joined.items()
                  if proxy not in world.joined or event.first_time and not world.joined[proxy]]
--- a/lifthinge/memory/world.py
+++ b/lifthinge/memory/world.py
@@ -23,7 +23,7 @@
         """The backend of this id; None if it is new and there is no room."""
         if name not in self.backends and len(self.backends) >= BACKENDS_MOST:
             return None
-        return self.backends.get(name) or self.backends.setdefault(name, Backend(name.encode()))
+        return self.backends.get(name) or self.backends.setdefault(name, Backend(name, name))
 
     def slice(self, number: int) -> Slice:
         return self.slices.get(number) or self.slices.setdefault(number, Slice(number))
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -1,12 +1,11 @@
 """The controller: gathers the events of a loop turn, lets the module decide once, hands the orders on."""
 import asyncio
 import logging
-from typing import Any, Callable, Optional
+from typing import Any, Callable, Iterable, Optional, Protocol
 
-from lifthinge.choice import Choice
 from lifthinge.interface import (
-    ChannelFree, Event, FetchList, FleetNews, FollowList, Leased, Order, PeerNote, Probe, ProbeResult,
-    ProxyJoined, ProxyLeft, Say, TellPeers, TimerDue, Wake)
+    ChannelState, Event, FetchList, FleetNews, FollowList, Form, Leased, Listing, Order, Phase, Probe,
+    ProxyJoined, ProxyLeft, RepeatCall, Say, SealConfirmed, SetLine, StoredLine, TellPeers, TimerDue, Wake)
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls
 from lifthinge.memory.world import World
@@ -20,30 +19,40 @@
 from lifthinge.wire.relay import Relay
 
 log = logging.getLogger(__name__)
+DISCOVERY_WAIT = 1_000.0    # ms after the start, until the list last held must do
+
+
+class Decider(Protocol):
+    """What decides: `lifthinge.choice.Choice`."""
+
+    def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
+        ...
 
 
 class Controller:
     """Owns everything that belongs to one controller; settings say what of it exists."""
 
-    def __init__(self, place: Place, books: Books) -> None:
-        self.place, self.books, self.world, self.calls = place, books, World(), Calls()
-        self.choice = Choice(place.terms, place.seed)
+    def __init__(self, place: Place, books: Books, choice: Decider) -> None:
+        self.place, self.books, self.choice, self.world, self.calls = place, books, choice, World(), Calls()
         self.door = Door(place.site, self.world)
         self.reception = Reception(books, self.door, place.sockets // 4, lambda: self.ready, self.tell)
-        self.relay = Relay(books, self.door, self.calls, place.relay,
-                           lambda: self.tell([ChannelFree(True)]), lambda seal: None)
+        self.relay = Relay(books, self.door, self.calls, place.relay, lambda: self.tell([]), self._refused)
         self.news = News(books, self.door, self.world, self.calls, place.relay, self._tell_news)
-        self.discovery = Discovery(books, self.door, self.world, place.discovery, lambda news: self.tell([news]))
+        self.discovery = Discovery(books, self.door, self.world, place.discovery,
+                                   lambda news: self.tell([news]))
         self.probes = Probes(books, self.door, self.world, lambda found: self.tell([found]))
         self.peers = Peers(books, list(place.peers), place.peers_all, place.site.number,
                            lambda note: self.tell([note]))
-        self.ready = False
+        self.ready = False      # it can decide, and knows what stands
+        self._late = False      # discovery need not be waited for any longer
+        self._turn_due = False
         self._events: list[Event] = []
         self._tasks: dict[str, asyncio.Task] = {}
         self._carry: dict[type, Callable[[Any], None]] = {
             Wake: lambda o: self.books.deadlines.set(o.delay, lambda: self.tell([TimerDue(o.handle)])),
             Probe: lambda o: self.probes.probe(o.backend),
             TellPeers: lambda o: self.peers.send(o.peer, o.content),
+            RepeatCall: lambda o: self.relay.repeat(o.seal),
             Say: lambda o: log.info("decided", {"what": o.text}),
             FollowList: lambda o: self._follow(o.on),
             FetchList: lambda o: self._run("fetch", self.discovery.fetch())}
@@ -59,6 +68,7 @@
         self._run("news", self.news.run())
         if not self.place.site.news_on_request:
             self._follow(True)
+        self.books.deadlines.set(DISCOVERY_WAIT, self._wait_no_more)
 
     def stop(self) -> None:
         """Takes nothing more, and ends every connection."""
@@ -66,14 +76,16 @@
         for task in self._tasks.values():
             task.cancel()
         self.relay.close()
+        self.news.close()
         self.discovery.close()
         self.peers.close()
 
     def tell(self, events: list[Event]) -> None:
         """Takes in events; they are decided on together once this loop turn is over."""
-        if not self._events:
-            asyncio.get_running_loop().call_soon(self._turn)
         self._events += events
+        if not self._turn_due:
+            self._turn_due = True
+            asyncio.get_running_loop().call_soon(self._turn)
 
     def _tell_news(self, events: list[Event]) -> None:
         """Notes what stands now, and drops the orders that died with a slice."""
@@ -87,16 +99,34 @@
                 self.world.held.pop(event.slice, None)
                 if event.given:
                     self.world.held[event.slice] = None
-        self.tell(events or [TimerDue(0)])
+            elif isinstance(event, SealConfirmed):
+                self.relay.confirmed(event.seal)
+        self.tell(events)
+
+    def _refused(self, order: Optional[Order]) -> None:
+        """The relay could not use an order: the decisions hear what stands instead.
+
+        It knows no such backend, or a whole call was given up: then what stands is told anew.
+        """
+        if order is None:
+            self.news.renew()
+        elif isinstance(order, SetLine) and order.slice in self.world.held:
+            gone = Listing(order.backend, order.backend.zone, 0, Phase.GONE, 0.0, order.backend.size)
+            self.world.listed.pop(order.backend, None)
+            lines = [StoredLine(order.slice, backend, weight) for backend, weight in order.slice.lines.items()
+                     if backend is not order.backend]
+            self.tell([FleetNews(Form.DELTA, [gone]), Leased(order.slice, True), *lines])
 
     def _turn(self) -> None:
-        events, self._events = self._events, []
-        began = self.books.now
+        events, self._events, self._turn_due = self._events, [], False
+        began, way = self.books.now, ChannelState(not self.calls, self.relay.unknown)
         try:
-            orders = self.choice.decide(began, [ChannelFree(not self.calls), *events])
-        except Exception as error:
+            orders = self.choice.decide(began, [way, *events])
+        except Exception as error:  # what is decided next may be better; who asks hears that it is not well
             log.error("decision_failed", {"error": repr(error)}, exc_info=True)
             self.books.counters.add("decision_failed")
+            self.ready = False
+            self.books.deadlines.set(self.place.terms.report_every, lambda: self.tell([]))
             return
         self.books.counters.add("decisions")
         self.books.counters.most("decision.longest_ms", round(self.books.now - began, 1))
@@ -108,12 +138,17 @@
         for order in orders:
             if not self.door.is_order(order):
                 self._carry[type(order)](order)
-        if not self.ready and self.news.stood and self.world.version >= 0:
+        listed = self.discovery.answered or self._late or self.place.site.news_on_request
+        if not self.ready and self.news.stood and listed:
             self.ready = True
             log.info("ready", {"backends": len(self.world.listed), "proxies": len(self.world.joined),
                                "slices": len(self.world.held)})
             self.reception.answer_beats()
 
+    def _wait_no_more(self) -> None:
+        self._late = True
+        self.tell([])
+
     def _follow(self, on: bool) -> None:
         if on:
             self._run("follow", self.discovery.follow())
@@ -129,5 +164,6 @@
 
     def _ended(self, name: str, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
-            log.error("work_failed", {"work": name, "error": repr(task.exception())}, exc_info=task.exception())
+            error = task.exception()
+            log.error("work_failed", {"work": name, "error": repr(error)}, exc_info=error)
             self.books.counters.add("work_failed")
--- a/lifthinge/service/logs.py
+++ b/lifthinge/service/logs.py
@@ -8,8 +8,8 @@
 class KeyValue(logging.Formatter):
     """The message is the event's name; a dictionary given as its argument holds the fields.
 
-    >>> record = logging.LogRecord("lifthinge.wire", logging.WARNING, "", 0, "bad_news", ({"why": "a b", "n": 1},),
-    ...                            None)
+    >>> fields = {"why": "a b", "n": 1}
+    >>> record = logging.LogRecord("wire", logging.WARNING, "", 0, "bad_news", (fields,), None)
     >>> record.created = 1.5
     >>> KeyValue().format(record)
     'time=1.500 level=warning event=bad_news why="a b" n=1'
--- a/lifthinge/service/run.py
+++ b/lifthinge/service/run.py
@@ -2,11 +2,13 @@
 import asyncio
 import logging
 import os
+import resource
 import signal
 import time
 from random import Random
 from typing import Callable
 
+from lifthinge.choice import Choice
 from lifthinge.memory.books import Books
 from lifthinge.memory.counters import Counters, Notices
 from lifthinge.memory.deadlines import Deadlines
@@ -33,19 +35,27 @@
                  Slots(sockets // 2), Slots(sockets // 2), Random(seed))
 
 
+def counters(books: Books) -> dict[str, float]:
+    """All counters, and what the process has used so far."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return {**books.counters.fields(), "cpu_s": used.ru_utime + used.ru_stime,
+            "memory_mb": used.ru_maxrss / 1024, "loop_delay_ms": books.deadlines.latest,
+            "connections": len(books.connections), "descriptors": len(os.listdir("/proc/self/fd"))}
+
+
 async def serve(place: Place) -> None:
     """Serves until SIGTERM."""
     loop, over = asyncio.get_running_loop(), asyncio.Event()
     books = make_books(place.seed, place.sockets)
-    controller = Controller(place, books)
+    controller = Controller(place, books, Choice(place.terms, place.seed))
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, over.set)
-    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", books.counters.fields()))
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", counters(books)))
     log.info("started", {"name": place.name, "listen": place.listen, "pid": os.getpid()})
     await controller.start()
     await over.wait()
     controller.stop()
-    log.info("stopped", books.counters.fields())
+    log.info("stopped", counters(books))
 
 
 def main() -> int:
--- a/lifthinge/tables.py
+++ b/lifthinge/tables.py
@@ -5,7 +5,7 @@
 def parts(lines: dict[Backend, float]) -> dict[Backend, float]:
     """How RPCs divide over the lines that are not withdrawn.
 
-    >>> a, b, c = Backend("a"), Backend("b"), Backend("c", shut_out=True)
+    >>> a, b, c = Backend("a", "a"), Backend("b", "b"), Backend("c", "c", shut_out=True)
     >>> [(x.ep, part) for x, part in parts({a: 3.0, b: 1.0, c: 9.0}).items()]
     [('a', 0.75), ('b', 0.25)]
     """
@@ -17,7 +17,7 @@
 def part_if_in(lines: dict[Backend, float], backend: Backend) -> float:
     """What part a backend has, or would have, were it let in.
 
-    >>> a, c = Backend("a"), Backend("c", shut_out=True)
+    >>> a, c = Backend("a", "a"), Backend("c", "c", shut_out=True)
     >>> part_if_in({a: 1.0, c: 3.0}, c), part_if_in({a: 1.0}, c)
     (0.75, 0.0)
     """
--- a/lifthinge/terms.py
+++ b/lifthinge/terms.py
@@ -33,10 +33,10 @@
     Traceback (most recent call last):
         ...
     lifthinge.terms.BadTerms: settings lack the key 'Specifics'
-    >>> read_terms([])
+    >>> read_terms(None)
     Traceback (most recent call last):
         ...
-    lifthinge.terms.BadTerms: settings have a value of the wrong kind: list indices must be integers or slices, not str
+    lifthinge.terms.BadTerms: settings have a value of the wrong kind: 'NoneType' object is not subscriptable
     """
     return _checked(_terms, conf)
 
--- a/lifthinge/wire/client.py
+++ b/lifthinge/wire/client.py
@@ -42,7 +42,7 @@
     def __init__(self, books: Books, kind: str, body_most: int = BODY_MOST) -> None:
         super().__init__(books, body_most + HEAD_MOST)
         self.kind, self.body_most = kind, body_most
-        self.parser: Optional[AnswerParser] = None
+        self.parser = AnswerParser(self.buffer, body_most)
         self._request: Optional[int] = None
         self.used_at = books.now
 
@@ -65,12 +65,14 @@
 
     def fail(self, cause: Cause, detail: str = "") -> None:
         """Ends the request, and the connection with it: a late answer must not pass for another's."""
-        reach = Reach.PARTLY if self.unsent else Reach.WHOLLY
-        if cause is Cause.UNREADABLE:
-            reach = Reach.ANSWERED
+        reach = Reach.ANSWERED if cause is Cause.UNREADABLE else self.reach()
         self.abort()
         self._settle(Failure(reach, cause, detail))
 
+    def reach(self) -> Reach:
+        """How far the request is known to have gone out."""
+        return Reach.PARTLY if self.unsent else Reach.WHOLLY
+
     def received(self) -> None:
         if self._request is None:
             self.books.notices.note("unasked_bytes", kind=self.kind)
--- a/lifthinge/wire/collectors.py
+++ b/lifthinge/wire/collectors.py
@@ -1,7 +1,7 @@
 """The controller's address: collectors with their reports, whoever asks for a sign of life, and strangers."""
 import asyncio
 import logging
-from typing import Callable, Optional
+from typing import Callable, Optional, Union
 
 from lifthinge.interface import Event
 from lifthinge.memory.books import Books
@@ -60,7 +60,7 @@
         self.books.counters.add("beats.answered")
         self.write(pack({names.KIND: names.BEAT_ANSWER}))
 
-    def _take(self, message: object) -> None:
+    def _take(self, message: Union[dict, Skip]) -> None:
         trouble = message if isinstance(message, Skip) else self._use(message)
         if trouble:
             self.books.notices.note("bad_message", why=trouble.why)
--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -23,7 +23,7 @@
     def __init__(self, books: Books, door: Door, world: World, where: tuple[str, int],
                  tell: Callable[[FleetNews], None]) -> None:
         self.books, self.door, self.world, self.where, self.tell = books, door, world, where, tell
-        self.asked = False              # an answer has come
+        self.answered = False           # ever
         self._watch = Caller(books, "discovery_watch", where)
         self._list = Caller(books, "discovery_list", where)
 
@@ -89,8 +89,8 @@
                    and (one.phase is not Phase.GONE or one.backend in self.world.listed)]
         if whole:
             changed += [Listing(one.backend, one.zone, one.cell, Phase.GONE, one.started, one.size)
-                        for one in self.world.listed.values() if one.backend.ep.decode() not in named]
-        self.world.version, self.asked = version, True
+                        for one in self.world.listed.values() if one.backend.ep not in named]
+        self.world.version, self.answered = version, True
         self._keep(changed)
         if changed or first:
             self.tell(FleetNews(Form.DELTA, changed))
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -1,11 +1,11 @@
 """The door: ids, names and units of the sockets to the decisions' types, and back."""
 import ipaddress
 import math
-from typing import Any, Callable, Optional, Union
+from typing import Any, Callable, Union
 
 from lifthinge.interface import (
-    Backend, BindProxy, ClearTable, Event, Leased, Listing, Phase, Proxy, ProxyJoined, ProxyLeft,
-    ProxyLoad, Seal, SealConfirmed, SetLevel, SetLine, ShutOut, Slice, SliceHeat, StoredLine, TriesReport)
+    Backend, BindProxy, ClearTable, Event, Leased, Listing, Proxy, ProxyJoined, ProxyLeft, ProxyLoad,
+    Seal, SealConfirmed, SetLevel, SetLine, ShutOut, Slice, SliceHeat, StoredLine, TriesReport)
 from lifthinge.memory.world import World
 from lifthinge.terms import SiteMap
 from lifthinge.wire import names
@@ -50,7 +50,7 @@
         found = self._message.get(name)
         if found is None and default is not _REQUIRED:
             return default
-        if isinstance(found, bool) or not isinstance(found, (int, float)):
+        if found is None or isinstance(found, bool) or not isinstance(found, (int, float)):
             raise _Unfit(f"{name} is no number" if name in self._message else f"{name} is missing")
         if not (math.isfinite(found) and 0 <= found <= most):
             raise _Unfit(f"{name} is out of range")
@@ -111,11 +111,11 @@
             names.JOINED: self._joined, names.LEFT: self._left, names.CONFIRMED: self._confirmed,
             names.LEASED: self._leased, names.LINE: self._line}
         self._orders: dict[type, Callable[[Any], dict[str, Any]]] = {
-            SetLine: lambda o: {names.DO: names.SET, "group": o.slice.number, "server": o.backend.ep.decode(),
+            SetLine: lambda o: {names.DO: names.SET, "group": o.slice.number, "server": o.backend.ep,
                                 "weight": o.weight},
             ClearTable: lambda o: {names.DO: names.CLEAR, "group": o.slice.number},
             BindProxy: lambda o: {names.DO: names.BIND, "group": o.slice.number, "proxy": o.proxy.number},
-            ShutOut: lambda o: {names.DO: names.OUT if o.out else names.IN, "server": o.backend.ep.decode()},
+            ShutOut: lambda o: {names.DO: names.OUT if o.out else names.IN, "server": o.backend.ep},
             SetLevel: self._level,
             Seal: lambda o: {names.DO: names.SEAL, "nonce_out": o.number, "on": int(o.everyone)}}
 
@@ -126,9 +126,11 @@
         """What a collector passed on."""
         return self._read(self._reports, message.get(names.KIND), message)
 
-    def news(self, message: dict[str, Any]) -> Union[Event, Skip]:
-        """What the relay told."""
-        return self._read(self._news, message.get(names.NEWS_KIND), message.get(names.FIELDS))
+    def news(self, message: dict[str, Any], stands: bool) -> Union[Event, Skip]:
+        """What the relay told; of what `stands`, a proxy may leave of which nothing was told before."""
+        event = self._read(self._news, message.get(names.NEWS_KIND), message.get(names.FIELDS))
+        of_joined = isinstance(event, (ProxyLeft, SealConfirmed)) and not stands
+        return Skip("proxy has not joined") if of_joined and event.proxy not in self.world.joined else event
 
     def listing(self, entry: Any) -> Union[Listing, Skip]:
         """One entry of the list; its address is noted."""
@@ -150,7 +152,8 @@
     def is_order(self, order: Any) -> bool:
         return type(order) in self._orders
 
-    def _read(self, readers: dict[str, Callable[[Fields], Event]], kind: Any, fields: Any) -> Union[Event, Skip]:
+    def _read(self, readers: dict[str, Callable[[Fields], Event]], kind: Any,
+              fields: Any) -> Union[Event, Skip]:
         reader = readers.get(kind) if isinstance(kind, str) else None
         return self._guard(lambda: reader(Fields(fields))) if reader else Skip("unknown kind")
 
@@ -171,10 +174,7 @@
         return self.world.slice(fields.whole("slice", self.site.slices - 1))
 
     def _proxy(self, fields: Fields) -> Proxy:
-        found = self.world.proxy(fields.whole("proxy", self.site.proxies - 1))
-        if found not in self.world.joined:
-            raise _Unfit("proxy has not joined")
-        return found
+        return self.world.proxy(fields.whole("proxy", self.site.proxies - 1))
 
     def _tries(self, f: Fields) -> Event:
         total, failed = f.whole("tries"), f.whole("failed")
@@ -189,13 +189,16 @@
                          f.whole("failed"), f.number("span_ms"))
 
     def _proxy_load(self, f: Fields) -> Event:
-        return ProxyLoad(self._proxy(f), f.place("class", self.site.methods), f.whole("tries"),
+        proxy = self._proxy(f)
+        if proxy not in self.world.joined:
+            raise _Unfit("proxy has not joined")
+        return ProxyLoad(proxy, f.place("class", self.site.methods), f.whole("tries"),
                          f.whole("failed"), f.number("span_ms"))
 
     def _joined(self, f: Fields) -> Event:
         number, zone = f.whole("proxy", self.site.proxies - 1), f.place("zone", self.site.zones)
         size, fresh, proxy = f.number("weight", 0.0), f.flag("fresh"), self.world.proxy(number)
-        proxy.size, proxy.zone, proxy.bound = size, zone, False
+        proxy.size, proxy.zone = size, zone
         return ProxyJoined(proxy, fresh)
 
     def _left(self, f: Fields) -> Event:
@@ -221,7 +224,7 @@
         zone = f.place("zone", self.site.zones)
         started, size = f.number("started_ms", 0.0, TIME_MOST), f.number("weight", 1.0)
         try:
-            where: Optional[tuple[str, int]] = address(f.text("addr"))
+            where = address(f.text("addr"))
         except ValueError:
             raise _Unfit("addr is no address") from None
         backend = known or self.world.backend(name)
@@ -231,7 +234,6 @@
         return Listing(backend, zone, int(f.number("cell", 0.0)), phase, started, size)
 
     def _level(self, order: SetLevel) -> dict[str, Any]:
-        level = {names.DO: names.LEVEL, "group": "*" if order.slice is None else order.slice.number,
-                 "routes": [self.site.methods[place] for place in order.methods], "admit": order.level,
-                 "policy": int(order.retry)}
-        return level
+        return {names.DO: names.LEVEL, "group": "*" if order.slice is None else order.slice.number,
+                "routes": [self.site.methods[place] for place in order.methods], "admit": order.level,
+                "policy": int(order.retry)}
--- a/lifthinge/wire/http.py
+++ b/lifthinge/wire/http.py
@@ -15,7 +15,8 @@
 ...     trouble = parser.ended() if ends else None
 ...     return trouble or (parser.done, parser.status, parser.keep, parser.take_body())
 >>> counted = b"HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\n\\r\\nhello"
->>> chunked = b"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n3;x=y\\r\\nhel\\r\\n2\\r\\nlo\\r\\n0\\r\\nA: b\\r\\n\\r\\n"
+>>> chunked = (b"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n"
+...            b"3;x=y\\r\\nhel\\r\\n2\\r\\nlo\\r\\n0\\r\\nA: b\\r\\n\\r\\n")
 >>> open_ended = b"HTTP/1.0 503 Busy\\n\\nhello"
 >>> [play(counted, step) for step in (1, 7, 99)] == [(True, 200, True, b"hello")] * 3
 True
@@ -29,11 +30,13 @@
 True
 >>> all(play(chunked[:cut], 1, True) == "early close" for cut in range(len(chunked)))
 True
->>> for bad in (b"HTTQ/1.1 200 OK\\r\\n", b"HTTP/1.1 2x0 OK\\r\\n\\r\\n", b"HTTP/1.1 200 OK\\r\\nNo colon\\r\\n\\r\\n",
-...             b"HTTP/1.1 200 OK\\r\\nContent-Length: -1\\r\\n\\r\\n", b"HTTP/1.1 200 OK\\r\\nContent-Length: 99999999\\r\\n\\r\\n",
-...             b"HTTP/1.1 200 OK\\r\\nContent-Length: 1\\r\\nContent-Length: 2\\r\\n\\r\\n", b"HTTP/1.1 200 OK\\r\\nX: " + b"x" * 9000,
-...             b"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: gzip\\r\\n\\r\\n", chunked.replace(b"3;x=y", b"z"),
-...             chunked.replace(b"hel\\r\\n", b"help\\r"), chunked.replace(b"3;x=y", b"fffffff"), counted + b"!"):
+>>> ok, end = b"HTTP/1.1 200 OK\\r\\n", b"\\r\\n\\r\\n"
+>>> for bad in (b"HTTQ/1.1 200 OK\\r\\n", b"HTTP/1.1 2x0 OK" + end, ok + b"No colon" + end,
+...             ok + b"Content-Length: -1" + end, ok + b"Content-Length: 99999999" + end,
+...             ok + b"Content-Length: 1\\r\\nContent-Length: 2" + end, ok + b"X: " + b"x" * 9000,
+...             ok + b"Transfer-Encoding: gzip" + end, chunked.replace(b"3;x=y", b"z"),
+...             chunked.replace(b"hel\\r\\n", b"help\\r"), chunked.replace(b"3;x=y", b"fffffff"),
+...             counted + b"!"):
 ...     print(play(bad, 1, True))
 bad status line
 bad status line
@@ -122,8 +125,8 @@
             return self._read_body()
         line = self._line()
         if line is None:
-            first = self.state is State.HEAD and not self.status and self.buffer.peek(self.body, self.body + 5)
-            if first and not b"HTTP/".startswith(first):
+            first = self.buffer.peek(self.body, self.body + 5)
+            if self.state is State.HEAD and not self.status and not b"HTTP/".startswith(first):
                 return "bad status line"
             return "head too long" if len(self.buffer) - self.body + self._head > HEAD_MOST else None
         self._head += len(line) + 1
--- a/lifthinge/wire/names.py
+++ b/lifthinge/wire/names.py
@@ -12,7 +12,7 @@
 CALL_PATH, NEWS_PATH = "/v3/kv/txn", "/v3/kv/watch"
 ORDERS, ACCEPTED = "orders", "accepted"
 DO, SET, CLEAR, BIND, OUT, IN, LEVEL, SEAL = "do", "SET", "DEL", "USE", "OUT", "IN", "LIMIT", "SYNC"
-THROTTLED, INVALID = "throttled", "invalid"
+ERROR, THROTTLED, INVALID = "error", "throttled", "invalid"
 
 # Discovery and probes
 LIST_PATH, HEALTH_PATH, LOAD_PATH = "/v1/endpoints", "/health", "/status/load"
--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -1,44 +1,51 @@
-"""News from the relay: a stream that is opened again whenever it breaks, falls silent or can't be read."""
+"""News from the relay: a stream that is opened again whenever it breaks, falls silent or can't be read.
+
+What stands comes first on each stream; the first sign of life, or an answer to a seal, is known to follow.
+A stream that has fallen silent is kept until another has told what stands: it may only have been slow.
+"""
 import asyncio
-import logging
 from typing import Callable, Optional
 
-from lifthinge.interface import Event
-from lifthinge.memory.attempts import Cause, Failure
+from lifthinge.interface import Event, Leased, SealConfirmed, StoredLine
+from lifthinge.memory.attempts import Cause, Failure, Reach
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls
 from lifthinge.memory.deadlines import Deadline
 from lifthinge.memory.stand import Stand
 from lifthinge.memory.world import World
 from lifthinge.wire import names
-from lifthinge.wire.client import HttpConnection, get
+from lifthinge.wire.client import HttpConnection, Result, get
 from lifthinge.wire.connection import connect
 from lifthinge.wire.door import Door
 from lifthinge.wire.frames import Skip, read_object
 
-log = logging.getLogger(__name__)
 SILENCE = 2_200.0       # ms without a line; a sign of life comes every second
+LINES_FOLLOW = 30.0     # ms within which a slice's lines follow the word that it is given
 RETRY_LEAST, RETRY_MOST = 50.0, 250.0
+LINE_MOST = 64 << 10
+NEVER = float("inf")
 
 
 class NewsConnection(HttpConnection):
-    """Hands on line by line for as long as they come."""
+    """Hands on line by line for as long as they come; `trouble` says why another stream is needed."""
 
-    def __init__(self, books: Books, line: Callable[[bytes], None]) -> None:
-        super().__init__(books, "relay_news")
+    def __init__(self, books: Books, line: Callable[["NewsConnection", bytes], None]) -> None:
+        super().__init__(books, "relay_news", LINE_MOST)
         self._line = line
         self._silence: Optional[Deadline] = None
+        self.stand: Optional[Stand] = Stand()      # until what stands has been told
+        self.trouble: asyncio.Future[Failure] = asyncio.get_running_loop().create_future()
 
-    def open(self, data: bytes) -> "asyncio.Future":
+    def open(self, data: bytes) -> None:
         self._listen()
-        return self.ask(data, float("inf"))
+        self.ask(data, NEVER).add_done_callback(lambda over: self._report(over.result()))
 
     def received(self) -> None:
         self._listen()
-        trouble = self.parser.advance() if self.parser else "unasked"
+        trouble = self.parser.advance()
         if not trouble and self.parser.status == 200:
-            while (line := self.parser.take_line()) is not None and not self.lost:
-                self._line(line)
+            while not self.lost and (line := self.parser.take_line()) is not None:
+                self._line(self, line)
         if trouble or self.parser.done:
             self.fail(Cause.UNREADABLE, trouble or f"status {self.parser.status}")
 
@@ -50,54 +57,106 @@
     def _listen(self) -> None:
         if self._silence:
             self._silence.cancel()
-        self._silence = self.books.deadlines.set(SILENCE, lambda: self.fail(Cause.LATE, "silent"))
+        self._silence = self.books.deadlines.set(SILENCE, self._silent)
+
+    def _silent(self) -> None:
+        self._report(Failure(self.reach(), Cause.LATE, "silent"))
+
+    def _report(self, result: Result) -> None:
+        """A stream that ends as an answer does has broken off, too."""
+        if not self.trouble.done():
+            over = Failure(Reach.ANSWERED, Cause.BROKEN, "ended")
+            self.trouble.set_result(result if isinstance(result, Failure) else over)
 
 
 class News:
-    """`tell` takes the events; `stood` is called when what stands has been heard."""
+    """`tell` takes the events that are news."""
 
     def __init__(self, books: Books, door: Door, world: World, calls: Calls, where: tuple[str, int],
                  tell: Callable[[list[Event]], None]) -> None:
         self.books, self.door, self.world, self.calls, self.where = books, door, world, calls, where
         self.tell = tell
-        self.stood = False              # ever heard what stands
-        self._stand: Optional[Stand] = None
+        self.stood = False                          # ever heard what stands
+        self._live: Optional[NewsConnection] = None     # the one that is listened to
+        self._given: dict[object, list[Event]] = {}     # slices just given, with their lines so far
+        self._given_over: Optional[Deadline] = None
 
     async def run(self) -> None:
         failures = 0
         while True:
             opened = self.books.now
-            result = await self._once()
-            self.books.notices.note("news_ended", cause=result.cause.value, detail=result.detail)
+            failure = await self._once()
+            self.books.notices.note("news_ended", reach=failure.reach.value, cause=failure.cause.value,
+                                    detail=failure.detail)
             failures = failures + 1 if self.books.now - opened < SILENCE else 0
             if failures:
                 await self.books.pause(RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
 
+    def renew(self) -> None:
+        """Has what stands told again."""
+        if self._live:
+            self._live.abort()
+
+    def close(self) -> None:
+        if self._live:
+            self._live.abort()
+
     async def _once(self) -> Failure:
-        self._stand = Stand()
         connection = await connect(self.books, lambda: NewsConnection(self.books, self._take), self.where)
         if isinstance(connection, Failure):
             return connection
         try:
-            return await connection.open(get(names.NEWS_PATH, self.where))
+            connection.open(get(names.NEWS_PATH, self.where))
+            return await connection.trouble
         finally:
-            connection.abort()
+            if connection is not self._live:
+                connection.abort()
 
-    def _take(self, line: bytes) -> None:
+    def _take(self, connection: NewsConnection, line: bytes) -> None:
         message = read_object(line)
-        if message == {}:
-            self._end_stand()
-            return
-        event = message if isinstance(message, Skip) else self.door.news(message)
+        event = None if message == {} else (
+            message if isinstance(message, Skip) else self.door.news(message, connection.stand is not None))
+        if connection.stand is not None and (event is None or isinstance(event, SealConfirmed)):
+            self._end_stand(connection)
         if isinstance(event, Skip):
             self.books.notices.note("bad_news", why=event.why)
-            return
-        self.books.counters.add(f"news.{type(event).__name__}")
-        if self._stand is None or not self._stand.take(event):
+        elif event is not None:
+            self.books.counters.add(f"news.{type(event).__name__}")
+            if connection.stand is not None:
+                connection.stand.take(event)
+            elif connection is self._live:
+                self._pass(event)
+
+    def _end_stand(self, connection: NewsConnection) -> None:
+        """This stream takes the place of the one before."""
+        self._tell_given()
+        former, self._live = self._live, connection
+        if former is not None and former is not connection:
+            former.abort()
+        told = connection.stand.difference(self.world, self.calls) if connection.stand else []
+        connection.stand = None
+        self.books.counters.add("news.stands")
+        self.books.counters.add("news.differences", len(told))
+        self.stood = True
+        self.tell(told)
+
+    def _pass(self, event: Event) -> None:
+        """Hands an event on; a slice just given waits for its lines, or it would pass for a bare one."""
+        if isinstance(event, Leased) and event.given:
+            self._given[event.slice] = [event]
+        elif isinstance(event, StoredLine) and event.slice in self._given:
+            self._given[event.slice].append(event)
+        else:
+            self._tell_given()
             self.tell([event])
-
-    def _end_stand(self) -> None:
-        stand, self._stand = self._stand, None
-        if stand is not None:
-            self.stood = True
-            self.tell(stand.difference(self.world, self.calls))
+            return
+        if self._given_over:
+            self._given_over.cancel()
+        self._given_over = self.books.deadlines.set(LINES_FOLLOW, self._tell_given)
+
+    def _tell_given(self) -> None:
+        if self._given_over:
+            self._given_over.cancel()
+        given, self._given = self._given, {}
+        if given:
+            self.tell([event for events in given.values() for event in events])
--- a/lifthinge/wire/relay.py
+++ b/lifthinge/wire/relay.py
@@ -1,7 +1,11 @@
-"""Calls to the relay: one in order at a time, sent again until it is known what became of it."""
+"""Calls to the relay: one in order at a time, until it is known what became of each.
+
+What never went out wholly goes again. What went out wholly and brought no answer ran as ordered or not at
+all: it goes again once the decisions say that the channel bears it, unless a proxy's answer to its seal shows
+that it ran.
+"""
 import asyncio
 import json
-import logging
 from typing import Callable, Iterable, Optional
 
 from lifthinge.interface import Order
@@ -13,80 +17,107 @@
 from lifthinge.wire.door import Door
 from lifthinge.wire.frames import read_object
 
-log = logging.getLogger(__name__)
 CALL_MOST = 60_000      # bytes of orders in a call
-ANSWER_WAIT = 300.0     # ms: an answer comes within 50 or never
-THROTTLE_WAIT = 100.0
+ANSWER_WAIT = 200.0     # ms: an answer comes within 50 or never
+THROTTLE_WAIT = 50.0
 RETRY_LEAST, RETRY_MOST = 50.0, 250.0
-TRIES_MOST = 5          # of a call that is answered with an error
+ERRORS_MOST = 5         # answers in a row that are errors, before a call is given up
 
 
 class Relay:
-    """`settled` is called once all orders given are settled; `repeated` when a call goes out a second time."""
+    """`changed` is called when all orders given are settled, or one call's fate becomes unknown.
+
+    `refused` takes an order that the relay can't use, or None when a whole call was given up.
+    """
 
     def __init__(self, books: Books, door: Door, calls: Calls, where: tuple[str, int],
-                 settled: Callable[[], None], repeated: Callable[[int], None]) -> None:
+                 changed: Callable[[], None], refused: Callable[[Optional[Order]], None]) -> None:
         self.books, self.door, self.calls = books, door, calls
-        self.settled, self.repeated = settled, repeated
+        self.changed, self.refused = changed, refused
+        self.unknown = 0        # the seal of a call whose fate is unknown, until it goes out again
         self._caller = Caller(books, "relay_call", where)
-        self._given = asyncio.Event()
-        self._errors = 0        # answers in a row that were errors
+        self._given, self._known = asyncio.Event(), asyncio.Event()
+        self._failures = self._errors = 0   # in a row
 
     def give(self, orders: Iterable[Order]) -> None:
         self.calls.add([(order, json.dumps(self.door.order(order), separators=(",", ":")).encode())
                         for order in orders])
         self._given.set()
 
+    def repeat(self, seal: int) -> None:
+        """The call may go out again."""
+        if self.unknown == seal:
+            self.books.counters.add("relay_call.repeated")
+            self._end_doubt()
+
+    def confirmed(self, seal: int) -> None:
+        """A proxy has answered a seal: if its call's fate was unknown, it ran."""
+        if self.unknown == seal:
+            self.books.counters.add("relay_call.shown_to_have_run")
+            self.calls.settle(self._front())
+            self._end_doubt()
+
     async def run(self) -> None:
         while True:
             await self._given.wait()
-            failures = 0
-            while call := self.calls.front(CALL_MOST - len(names.ORDERS) - 8):
+            while call := self._front():
                 body = b'{"%s":[%s]}' % (names.ORDERS.encode(), b",".join(one.body for one in call))
                 result = await self._caller.call(post(names.CALL_PATH, self._caller.where, body), ANSWER_WAIT)
-                wait = self._settle(call, result)
-                failures = failures + 1 if wait is not None else 0
-                if wait and failures > 1:
-                    await self.books.pause(wait)
+                await self._settle(call, result)
             self._given.clear()
-            self.settled()
+            self.changed()
 
     def close(self) -> None:
         self._caller.close()
 
-    def _settle(self, call: list[Pending], result: Result) -> Optional[float]:
-        """Takes in what became of a call; gives how long to wait where the call must be made again."""
+    def _front(self) -> list[Pending]:
+        return self.calls.front(CALL_MOST - len(names.ORDERS) - 8)
+
+    async def _settle(self, call: list[Pending], result: Result) -> None:
+        """Takes in what became of a call; returns when the next may go out."""
         if isinstance(result, Failure):
             self.books.notices.note("relay_call_failed", reach=result.reach.value, cause=result.cause.value,
                                     detail=result.detail)
-            return self._again(result.may_have_run)
+            await self._again(result.may_have_run)
+            return
         answer = read_object(result.body)
         accepted = answer.get(names.ACCEPTED) if isinstance(answer, dict) else None
         if result.status == 200 and type(accepted) is int and 0 <= accepted <= len(call):
-            self._errors = 0
-            self.calls.settle(call[:accepted])
+            self._failures = self._errors = 0
+            self.books.counters.add("orders_accepted", accepted)
+            self.calls.settle(call[:accepted + 1])
             if accepted < len(call):
                 self.books.notices.note("order_refused", order=call[accepted].body.decode())
-                self.calls.settle([call[accepted]])
-            self.books.counters.add("orders.accepted", accepted)
-            return None
-        return self._refused(call, result)
-
-    def _refused(self, call: list[Pending], answer: Answer) -> Optional[float]:
-        if names.THROTTLED.encode() in answer.body:
-            self.books.counters.add("relay_call.throttled")
-            return THROTTLE_WAIT
+                self.refused(call[accepted].order)
+        elif isinstance(answer, dict) and answer.get(names.ERROR) == names.THROTTLED:
+            await self.books.pause(THROTTLE_WAIT)
+        else:
+            await self._take_error(call, result, answer)
+
+    async def _take_error(self, call: list[Pending], result: Answer, answer: object) -> None:
+        """An error that is no waiting, or what can't be read: then it is unknown whether the call ran."""
         self._errors += 1
-        self.books.notices.note("relay_call_error", status=answer.status, body=answer.body[:200].decode("latin-1"))
-        if self._errors < TRIES_MOST and names.INVALID.encode() not in answer.body:
-            return self._again(True)
-        self.books.notices.note("relay_call_dropped", orders=len(call))
-        self.calls.settle(call)
-        self._errors = 0
-        return None
-
-    def _again(self, may_have_run: bool) -> float:
-        seal = self.calls.seal()
-        if may_have_run and seal is not None:
-            self.repeated(seal)
-        return RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST)
+        self.books.notices.note("relay_call_error", status=result.status,
+                                body=result.body[:200].decode("latin-1"))
+        invalid = isinstance(answer, dict) and answer.get(names.ERROR) == names.INVALID
+        if invalid or self._errors >= ERRORS_MOST:
+            self.books.notices.note("relay_call_given_up", orders=len(call))
+            self.calls.settle(call)
+            self._errors = 0
+            self.refused(None)
+        else:
+            await self._again(True)
+
+    async def _again(self, may_have_run: bool) -> None:
+        self._failures += 1
+        if self._failures > 1:
+            await self.books.pause(RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
+        if may_have_run and (seal := self.calls.seal()):
+            self.unknown = seal
+            self._known.clear()
+            self.changed()
+            await self._known.wait()
+
+    def _end_doubt(self) -> None:
+        self.unknown = 0
+        self._known.set()
--- a/lifthinge/wirehost/translate.py
+++ b/lifthinge/wirehost/translate.py
@@ -79,7 +79,7 @@
             FetchList: lambda o: self._pack("Pull")}
 
     def backend(self, ep: bytes) -> Backend:
-        return self.backends.get(ep) or self.backends.setdefault(ep, Backend(ep))
+        return self.backends.get(ep) or self.backends.setdefault(ep, Backend(ep, ep.hex()))
 
     def slice(self, number: int) -> Slice:
         return self.slices.get(number) or self.slices.setdefault(number, Slice(number))
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -6,15 +6,17 @@
 
 from tests.play import Stage
 
-MODULES = ("lifthinge.channel", "lifthinge.terms", "lifthinge.histogram", "lifthinge.lowest", "lifthinge.tables",
-           "lifthinge.wirehost.codec", "lifthinge.wirehost.translate", "lifthinge.wirehost.__main__")
+MODULES = ("channel", "histogram", "lowest", "tables", "terms", "memory.attempts", "memory.calls",
+           "memory.counters", "memory.deadlines", "memory.slots", "service.environment", "service.logs",
+           "wire.buffer", "wire.client", "wire.door", "wire.frames", "wire.http", "wire.probes",
+           "wirehost.codec", "wirehost.translate", "wirehost.__main__")
 SCENARIOS = Path(__file__).parent / "scenarios"
 
 
 def main() -> int:
     passed = failed = 0
     for name in MODULES:
-        result = doctest.testmod(importlib.import_module(name))
+        result = doctest.testmod(importlib.import_module("lifthinge." + name))
         failed += result.failed
         passed += result.attempted - result.failed
     for path in sorted(SCENARIOS.glob("*.txt")):
--- a/tests/play.py
+++ b/tests/play.py
@@ -54,7 +54,7 @@
     def name(self, kind: type, name: str) -> object:
         key = kind, name
         if key not in self.names:
-            self.names[key] = Backend(name.encode()) if kind is Backend else kind(int(name))
+            self.names[key] = Backend(name.encode(), name.encode().hex()) if kind is Backend else kind(int(name))
         return self.names[key]
 
     def tell(self, *events: object) -> None:
