Network scenarios: scripted peers, breaks and a hand-moved clock

The controller plays on loopback against scripted collectors, relay, discovery, backends and peers. They found that a call shown to have run left the count of failures in a row standing, so the next repeat waited, and that a news stream broken off early was opened again with a wait the first time; both mended.

--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -89,7 +89,7 @@
             self.books.notices.note("news_ended", reach=failure.reach.value, cause=failure.cause.value,
                                     detail=failure.detail)
             failures = failures + 1 if self.books.now - opened < SILENCE else 0
-            if failures:
+            if failures > 1:
                 await self.books.pause(RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
 
     def renew(self) -> None:
--- a/lifthinge/wire/relay.py
+++ b/lifthinge/wire/relay.py
@@ -55,6 +55,7 @@
         if self.unknown == seal:
             self.books.counters.add("relay_call.shown_to_have_run")
             self.calls.settle(self._front())
+            self._failures = self._errors = 0
             self._end_doubt()
 
     async def run(self) -> None:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,16 +1,19 @@
 """Runs the doctests and plays every scenario; the last line counts both."""
 import doctest
 import importlib
+import logging
 import sys
 from pathlib import Path
 
-from tests.play import Stage
+from tests.play import Network, Stage
 
 MODULES = ("channel", "histogram", "lowest", "tables", "terms", "memory.attempts", "memory.calls",
            "memory.counters", "memory.deadlines", "memory.slots", "service.environment", "service.logs",
            "wire.buffer", "wire.client", "wire.door", "wire.frames", "wire.http", "wire.probes",
            "wirehost.codec", "wirehost.translate", "wirehost.__main__")
-SCENARIOS = Path(__file__).parent / "scenarios"
+HERE = Path(__file__).parent
+PLAYED = [(path, kind) for folder, kind in (("scenarios", Stage), ("network", Network))
+          for path in sorted((HERE / folder).glob("*.txt"))]
 
 
 def main() -> int:
@@ -19,9 +22,10 @@
         result = doctest.testmod(importlib.import_module("lifthinge." + name))
         failed += result.failed
         passed += result.attempted - result.failed
-    for path in sorted(SCENARIOS.glob("*.txt")):
+    logging.disable()   # what is logged of bad input is counted, too
+    for path, kind in PLAYED:
         try:
-            Stage().run(path.read_text())
+            kind().run(path.read_text())
             passed += 1
         except Exception as error:  # any failure of a scenario is a failed test
             failed += 1
--- a/tests/play.py
+++ b/tests/play.py
@@ -20,13 +20,32 @@
 `unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
 wait, at most), `followed N`, `bound N`. In all scenarios a slice keeps an open line while one is ready.
 """
-from dataclasses import replace
-
+import asyncio
+import json
+import logging
+import re
+import socket
+import struct
+import time
+from dataclasses import fields, replace
+from enum import Enum
+from random import Random
+from types import SimpleNamespace
+from typing import Callable, Iterable, Optional
+
+from lifthinge import interface
 from lifthinge.choice import Choice
 from lifthinge.interface import (
-    Backend, BindProxy, ClearTable, FleetNews, FollowList, Form, Leased, Listing, Method, Phase,
-    Proxy, ProxyJoined, ProxyLeft, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut, SiteTerms,
-    Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
+    Backend, BindProxy, ChannelState, ClearTable, FleetNews, FollowList, Form, Leased, Listing, Method, Phase,
+    Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
+    SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
+from lifthinge.memory.books import Books
+from lifthinge.memory.counters import Counters, Notices
+from lifthinge.memory.deadlines import Deadlines
+from lifthinge.memory.slots import Slots
+from lifthinge.service.controller import Controller
+from lifthinge.service.environment import Place
+from lifthinge.terms import read_map, read_terms
 
 TERMS = SiteTerms(
     methods=(Method(1500.0, 5000.0, 1.0), Method(800.0, 2000.0, 3.0)),
@@ -221,3 +240,351 @@
 
     def do_bound(self, count: str) -> None:
         assert len(self.bound) == int(count), f"{len(self.bound)} are bound"
+
+
+# The controller on sockets.
+
+SITE = {
+    "Balancers": 2, "SlotNo": 0, "Zones": ["za", "zb"], "MembershipMode": "push", "Weights": "nominal",
+    "Services": [{"Name": name, "Target": 0.8, "Deadline": 2.0, "Worth": 1.0} for name in ("look", "scan")],
+    "Report": {"Fields": ["utilization", "throughput"]}, "Limits": {"Probes": True, "MayTell": True},
+    "Rules": {"WarmUp": 16.0},
+    "Specifics": {"Ranges": 8, "DataPlaneSize": 6, "Admit": "ratio", "ReportEvery": 0.5, "ChannelRate": 5000.0,
+                  "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0}}
+PATIENCE = 5.0      # real seconds until a scenario that waits for something has failed
+PATHS = {"call": b"POST /v3/kv/txn ", "news": b"GET /v3/kv/watch ", "list": b"GET /v1/endpoints",
+         "probe": b"GET /"}
+
+
+class Script:
+    """Stands in for the decisions: notes what it is told, and orders what the scenario says."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+        self.way = ChannelState(True)
+        self.due: list[list] = []
+        self.fails = False
+
+    def decide(self, now: float, events: Iterable) -> list:
+        self.way, *rest = events
+        self.told += [told_text(event) for event in rest]
+        if self.fails:
+            raise RuntimeError("as the scenario says")
+        return self.due.pop(0) if self.due else []
+
+
+def told_text(event: object) -> str:
+    """An event as words: its kind, then its fields with backends, slices and proxies by their ids."""
+    if isinstance(event, FleetNews):
+        return " ".join(["FleetNews", event.form.value] + [
+            f"{one.backend.name}:{one.phase.value}:{one.zone}:{one.started:g}:{one.size:g}"
+            for one in event.listings])
+    values = [getattr(event, field.name) for field in fields(event)]
+    return " ".join([type(event).__name__] + [
+        one.name if isinstance(one, Backend) else str(one.number) if isinstance(one, (Slice, Proxy))
+        else one.value if isinstance(one, Enum) else f"{one:g}" if isinstance(one, float)
+        else ",".join(f"{part:g}" for part in one) or "-" if isinstance(one, tuple) else str(one) for one in values])
+
+
+class Peer:
+    """One scripted party that is called: the relay, discovery, or a backend."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server
+        self.asked: list[tuple[bytes, asyncio.StreamWriter]] = []
+        self.current: dict[str, asyncio.StreamWriter] = {}
+        self.opened = 0
+
+    async def open(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.where = self.server.sockets[0].getsockname()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"Content-Length: (\d+)", head)
+                self.asked.append((head + await reader.readexactly(int(length[1]) if length else 0), writer))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+
+
+class Network:
+    """Plays a network scenario: a controller on loopback, scripted peers, and a clock moved by hand.
+
+    A line holds statements, parted by ` ; `. `settings KEY=JSON ..` changes the site, `known JSON` the list last
+    held, `start` begins. `order KIND ARGS, ..` is what is decided next, `shut_out N SEAL` that so many backends are out, `told WORDS` waits for an event, `untold`
+    says that none is left, `way free|taken|N` is the channel's state. `pass MS` moves the clock.
+
+    `call`, `news`, `list` and `probe` are the parties called, `call.2` a second one of them, each with `asked
+    WORDS` (waits for a request with these in it), `unasked`, `says STATUS JSON`, `raw TEXT` (with escapes), `line
+    JSON` (a chunk), `opens` (a stream), `breaks` (a reset), `closes`, `stops` and `restarts` (listening), `opened N`.
+    `in NAME opens|says JSON|raw TEXT|hears JSON|silent|closes|ended` is a connection that comes in, `in NAME opens
+    N` many; `note N TEXT`, `noted TEXT` and `stray TEXT` are datagrams from, to and beside peers. `counted NAME N`
+    waits for a counter, `now_counted NAME N` doesn't.
+    """
+
+    def __init__(self) -> None:
+        self.site, self.known = json.loads(json.dumps(SITE)), {"version": 0, "full": True, "servers": []}
+        self.now, self.script = 1_000_000.0, Script()
+        self.relay, self.discovery, self.backend = Peer(), Peer(), Peer()
+        self.parties = {"call": self.relay, "news": self.relay, "list": self.discovery, "probe": self.backend}
+        self.inbound: dict[str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
+        self.sockets: list[socket.socket] = []
+        self.controller: Controller
+
+    def run(self, text: str) -> None:
+        asyncio.run(asyncio.wait_for(self._play(text), 10 * PATIENCE))
+
+    async def _play(self, text: str) -> None:
+        for peer in (self.relay, self.discovery, self.backend):
+            await peer.open()
+        try:
+            for number, raw in enumerate(text.splitlines(), 1):
+                text = raw.split("#")[0].replace("$backend", "%s:%d" % self.backend.where[:2])
+                for words in (one.strip().split(" ") for one in text.split(" ; ") if one.strip()):
+                    try:
+                        await self._do(words[0], words[1:])
+                    except Exception as error:
+                        raise AssertionError(f"line {number} ({' '.join(words)}): {error!r}") from None
+            self.controller.stop()
+            await self._settle()
+            books = self.controller.books
+            assert not len(books.connections) and not len(books.requests), "a connection or request is left"
+        finally:
+            for one in self.sockets:
+                one.close()
+
+    async def _do(self, word: str, rest: list[str]) -> None:
+        party, _, suffix = word.partition(".")
+        if party in self.parties:
+            await getattr(self, "peer_" + rest[0])(party, word, *rest[1:])
+        elif word == "in":
+            await getattr(self, "in_" + rest[1])(rest[0], *rest[2:])
+        else:
+            await getattr(self, "do_" + word)(*rest)
+
+    async def _settle(self) -> None:
+        """Lets everybody on this loop go on until nothing is left to do at once."""
+        for _ in range(30):
+            await asyncio.sleep(0)
+
+    async def _until(self, found: Callable[[], object], what: Callable[[], str]) -> None:
+        end = time.monotonic() + PATIENCE
+        while not found():
+            assert time.monotonic() < end, what()
+            await asyncio.sleep(0)
+
+    # The controller, its decisions and its clock.
+
+    async def do_settings(self, *pairs: str) -> None:
+        for key, value in (pair.split("=") for pair in pairs):
+            *path, last = key.split(".")
+            part = self.site
+            for name in path:
+                part = part[name]
+            part[last] = json.loads(value)
+
+    async def do_known(self, text: str) -> None:
+        self.known = json.loads(text)
+
+    async def do_start(self, sockets: str = "64") -> None:
+        for _ in range(3):
+            one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            one.bind(("127.0.0.1", 0))
+            one.setblocking(False)
+            self.sockets.append(one)
+        own = self.sockets[0].getsockname()
+        self.sockets.pop(0).close()
+        counters = Counters()
+        books = Books(Deadlines(lambda: self.now, lambda delay, run: SimpleNamespace(cancel=lambda: None)),
+                      counters, Notices(logging.getLogger("tests"), counters, lambda: self.now),
+                      Slots(int(sockets)), Slots(int(sockets)), Random(7))
+        site = read_map(self.site)
+        place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, own,
+                      (own, self.sockets[0].getsockname()), None, 7, int(sockets), self.known,
+                      read_terms(self.site), site)
+        self.controller = Controller(place, books, self.script)
+        await self.controller.start()
+
+    async def do_pass(self, span: str) -> None:
+        end = self.now + float(span)
+        while self.now < end:       # in steps, as waits follow one another
+            await self._settle()
+            self.now = min(self.now + 10.0, end)
+            self.controller.books.deadlines.run()
+        await self._settle()
+
+    async def do_order(self, *words: str) -> None:
+        world, orders = self.controller.world, []
+        kinds = {"backend": world.backend, "slice": lambda n: world.slice(int(n)),
+                 "proxy": lambda n: world.proxy(int(n))}
+        for one in " ".join(words).split(", ") if words else ():
+            name, *args = one.split()
+            kind = getattr(interface, name)
+            values = [kinds[f.name](arg) if f.name in kinds and arg != "all" else None if arg == "all"
+                      else arg.encode() if f.name == "content" else arg if f.name == "text"
+                      else Retry(int(arg)) if f.name == "retry" else tuple(json.loads(arg))
+                      if f.name == "methods" else json.loads(arg) for f, arg in zip(fields(kind), args)]
+            orders.append(kind(*values))
+        self.script.due.append(orders)
+        self.controller.tell([])
+
+    async def do_shut_out(self, count: str, seal: str) -> None:
+        names = (f"s-{number:03}" + "x" * 195 for number in range(int(count)))
+        await self.do_order(*", ".join([*(f"ShutOut {name} true" for name in names), f"Seal {seal}"]).split(" "))
+
+    async def do_told(self, *words: str) -> None:
+        wanted = " ".join(words)
+        await self._until(lambda: wanted in self.script.told, lambda: f"it was told {self.script.told}")
+        self.script.told.remove(wanted)
+
+    async def do_untold(self) -> None:
+        await self._settle()
+        assert not self.script.told, f"it was told {self.script.told}"
+
+    async def do_way(self, state: str) -> None:
+        wanted = ChannelState(state == "free", 0 if state in ("free", "taken") else int(state))
+        await self._until(lambda: self.script.way == wanted, lambda: f"it is {self.script.way}")
+
+    async def do_decisions(self, word: str) -> None:
+        self.script.fails = word == "fail"
+
+    async def do_counted(self, name: str, count: str) -> None:
+        def found() -> float:
+            return self.controller.books.counters.get(name)
+        await self._until(lambda: found() == float(count), lambda: f"it is {found()}")
+
+    async def do_now_counted(self, name: str, count: str) -> None:
+        await self._settle()
+        found = self.controller.books.counters.get(name)
+        assert found == float(count), f"it is {found}"
+
+    # Those that are called.
+
+    async def peer_asked(self, party: str, name: str, *words: str) -> None:
+        peer, path = self.parties[party], PATHS[party]
+
+        def first() -> Optional[tuple]:
+            return next((one for one in peer.asked if one[0].startswith(path)), None)
+        await self._until(first, lambda: "nothing was asked")
+        found = first()
+        peer.asked.remove(found)
+        peer.current[name] = found[1]
+        for word in words:
+            assert word.encode() in found[0], f"it asked {found[0]}"
+
+    async def peer_unasked(self, party: str, name: str) -> None:
+        await self._settle()
+        left = [one[0] for one in self.parties[party].asked if one[0].startswith(PATHS[party])]
+        assert not left, f"it asked {left}"
+
+    async def peer_says(self, party: str, name: str, status: str, *words: str) -> None:
+        body = " ".join(words).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.parties[party].current[name].write(head.encode() + body)
+        await self._settle()
+
+    async def peer_raw(self, party: str, name: str, *words: str) -> None:
+        self.parties[party].current[name].write(unescape(words))
+        await self._settle()
+
+    async def peer_opens(self, party: str, name: str) -> None:
+        await self.peer_raw(party, name, r"HTTP/1.1\x20200\x20OK\r\nTransfer-Encoding:\x20chunked\r\n\r\n")
+
+    async def peer_line(self, party: str, name: str, *words: str) -> None:
+        line = " ".join(words).encode() + b"\n"
+        self.parties[party].current[name].write(b"%x\r\n%s\r\n" % (len(line), line))
+        await self._settle()
+
+    async def peer_breaks(self, party: str, name: str) -> None:
+        reset(self.parties[party].current[name])
+        await self._settle()
+
+    async def peer_closes(self, party: str, name: str) -> None:
+        self.parties[party].current[name].close()
+        await self._settle()
+
+    async def peer_stops(self, party: str, name: str) -> None:
+        self.parties[party].server.close()
+
+    async def peer_restarts(self, party: str, name: str) -> None:
+        await self.parties[party].open(self.parties[party].where[1])
+
+    async def peer_opened(self, party: str, name: str, count: str) -> None:
+        await self._settle()
+        assert self.parties[party].opened == int(count), f"it was {self.parties[party].opened}"
+
+    # Those that come in.
+
+    async def in_opens(self, name: str, count: str = "1") -> None:
+        for _ in range(int(count)):
+            pair = await asyncio.open_connection(*self.controller.reception.where)
+            self.inbound.setdefault(name, []).append(pair)
+            await self._settle()
+
+    async def in_says(self, name: str, *words: str) -> None:
+        body = " ".join(words).encode()
+        await self._send(name, len(body).to_bytes(4, "big") + body)
+
+    async def in_raw(self, name: str, *words: str) -> None:
+        await self._send(name, unescape(words))
+
+    async def in_bytewise(self, name: str, *words: str) -> None:
+        body = " ".join(words).encode()
+        for byte in len(body).to_bytes(4, "big") + body:
+            await self._send(name, bytes((byte,)))
+
+    async def _send(self, name: str, data: bytes) -> None:
+        for _, writer in self.inbound[name]:
+            writer.write(data)
+        await self._settle()
+
+    async def in_hears(self, name: str, *words: str) -> None:
+        for reader, _ in self.inbound[name]:
+            length = await asyncio.wait_for(reader.readexactly(4), PATIENCE)
+            found = json.loads(await reader.readexactly(int.from_bytes(length, "big")))
+            assert found == json.loads(" ".join(words)), f"it heard {found}"
+
+    async def in_silent(self, name: str) -> None:
+        await self._settle()
+        for reader, _ in self.inbound[name]:
+            assert not reader._buffer and not reader.at_eof() and not reader.exception(), "it heard something"
+
+    async def in_closes(self, name: str) -> None:
+        for _, writer in self.inbound[name]:
+            writer.close()
+        await self._settle()
+
+    async def in_ended(self, name: str) -> None:
+        for reader, _ in self.inbound[name]:
+            try:
+                assert await asyncio.wait_for(reader.read(1), PATIENCE) == b"", "it heard something"
+            except ConnectionError:
+                pass
+
+    # Datagrams.
+
+    async def do_note(self, number: str, *words: str) -> None:
+        self.sockets[int(number) - 1].sendto(unescape(words), self.controller.peers.peers[0])
+
+    async def do_stray(self, *words: str) -> None:
+        self.sockets[1].sendto(unescape(words), self.controller.peers.peers[0])
+
+    async def do_noted(self, *words: str) -> None:
+        found = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.sockets[0], 512), PATIENCE)
+        assert found == unescape(words), f"it is {found!r}"
+
+
+def unescape(words: Iterable[str]) -> bytes:
+    """Bytes out of text; `*N` after an escape-free word repeats it."""
+    text = " ".join(words)
+    if found := re.fullmatch(r"(.)\*(\d+)", text):
+        text = found[1] * int(found[2])
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
