--- a/tests/play.py
+++ b/tests/play.py
@@ -318,7 +318,7 @@
     says that none is left, `way free|taken|N` is the channel's state. `pass MS` moves the clock.
 
     `call`, `news`, `list` and `probe` are the parties called, `call.2` a second one of them, each with `asked
-    WORDS` (waits for a request with these in it), `unasked`, `says STATUS JSON`, `raw TEXT` (with escapes), `line
+    WORDS` (waits for a request with these in it), `comes WORDS` (and the clock moves meanwhile), `unasked`, `says STATUS JSON`, `raw TEXT` (with escapes), `line
     JSON` (a chunk), `opens` (a stream), `breaks` (a reset), `closes`, `stops` and `restarts` (listening), `opened N`.
     `in NAME opens|says JSON|raw TEXT|hears JSON|silent|closes|ended` is a connection that comes in, `in NAME opens
     N` many; `note N TEXT`, `noted TEXT` and `stray TEXT` are datagrams from, to and beside peers. `counted NAME N`
@@ -475,6 +475,14 @@
         for word in words:
             assert word.encode() in found[0], f"it asked {found[0]}"
 
+    async def peer_comes(self, party: str, name: str, *words: str) -> None:
+        for _ in range(100):
+            await self._settle()
+            if any(one[0].startswith(PATHS[party]) for one in self.parties[party].asked):
+                break
+            await self.do_pass("10")
+        await self.peer_asked(party, name, *words)
+
     async def peer_unasked(self, party: str, name: str) -> None:
         await self._settle()
         left = [one[0] for one in self.parties[party].asked if one[0].startswith(PATHS[party])]
