--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -1,7 +1,7 @@
 """The controller: gathers the events of a loop turn, lets the module decide once, hands the orders on."""
 import asyncio
 import logging
-from typing import Any, Callable, Iterable, Optional, Protocol
+from typing import Any, Awaitable, Callable, Iterable, Optional, Protocol
 
 from lifthinge.interface import (
     ChannelState, Event, FetchList, FleetNews, FollowList, Form, Leased, Listing, Order, Phase, Probe,
@@ -9,7 +9,7 @@
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls
 from lifthinge.memory.world import World
-from lifthinge.service.environment import Place
+from lifthinge.service.environment import BadStart, Place
 from lifthinge.wire.collectors import Reception
 from lifthinge.wire.discovery import Discovery
 from lifthinge.wire.door import Door
@@ -61,15 +61,22 @@
         found = self.discovery.known(self.place.known)
         if found:
             self.books.notices.note("known_unusable", why=found.why)
-        await self.reception.open(self.place.listen)
-        if self.place.site.peers and self.place.peer_listen:
-            await self.peers.open(self.place.peer_listen)
+        await self._bind("ROUTER_LISTEN", self.reception.open(self.place.listen))
+        if self.place.peer_listen:
+            await self._bind("peer_listen", self.peers.open(self.place.peer_listen))
         self._run("relay", self.relay.run())
         self._run("news", self.news.run())
         if not self.place.site.news_on_request:
             self._follow(True)
         self.books.deadlines.set(DISCOVERY_WAIT, self._wait_no_more)
 
+    @staticmethod
+    async def _bind(key: str, opened: Awaitable[None]) -> None:
+        try:
+            await opened
+        except OSError as error:
+            raise BadStart(key, error.strerror or str(error)) from None
+
     def stop(self) -> None:
         """Takes nothing more, and ends every connection."""
         self.reception.close()
--- a/lifthinge/service/run.py
+++ b/lifthinge/service/run.py
@@ -51,19 +51,20 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, over.set)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", counters(books)))
-    log.info("started", {"name": place.name, "listen": place.listen, "pid": os.getpid()})
-    await controller.start()
-    await over.wait()
-    controller.stop()
+    try:
+        await controller.start()
+        log.info("started", {"name": place.name, "listen": place.listen, "pid": os.getpid()})
+        await over.wait()
+    finally:
+        controller.stop()
     log.info("stopped", counters(books))
 
 
 def main() -> int:
     logs.start()
     try:
-        place = read_place(os.environ)
+        asyncio.run(serve(read_place(os.environ)))
     except BadStart as error:
         log.error("bad_start", {"key": error.key, "why": error.why})
         return BAD_START
-    asyncio.run(serve(place))
     return 0
--- a/tests/play.py
+++ b/tests/play.py
@@ -23,9 +23,13 @@
 import asyncio
 import json
 import logging
+import os
 import re
+import signal
 import socket
 import struct
+import sys
+import tempfile
 import time
 from dataclasses import fields, replace
 from enum import Enum
@@ -37,7 +41,7 @@
 from lifthinge.choice import Choice
 from lifthinge.interface import (
     Backend, BindProxy, ChannelState, ClearTable, FleetNews, FollowList, Form, Leased, Listing, Method, Phase,
-    Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
+    Proxy, ProxyJoined, ProxyLeft, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
     SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
 from lifthinge.memory.books import Books
 from lifthinge.memory.counters import Counters, Notices
@@ -73,7 +77,7 @@
     def name(self, kind: type, name: str) -> object:
         key = kind, name
         if key not in self.names:
-            self.names[key] = Backend(name.encode(), name.encode().hex()) if kind is Backend else kind(int(name))
+            self.names[key] = Backend(name, name) if kind is Backend else kind(int(name))
         return self.names[key]
 
     def tell(self, *events: object) -> None:
@@ -203,7 +207,7 @@
 
     def do_owner(self, number: str, name: str) -> None:
         lines = {b: w for b, w in self.tables[self.name(Slice, number)].items() if b not in self.out}
-        found = max(lines, key=lines.get).ep.decode()
+        found = max(lines, key=lines.get).name
         assert found == name, f"it is {found}"
 
     def do_part(self, number: str, name: str, part: str) -> None:
@@ -249,8 +253,9 @@
     "Services": [{"Name": name, "Target": 0.8, "Deadline": 2.0, "Worth": 1.0} for name in ("look", "scan")],
     "Report": {"Fields": ["utilization", "throughput"]}, "Limits": {"Probes": True, "MayTell": True},
     "Rules": {"WarmUp": 16.0},
-    "Specifics": {"Ranges": 8, "DataPlaneSize": 6, "Admit": "ratio", "ReportEvery": 0.5, "ChannelRate": 5000.0,
-                  "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0}}
+    "Specifics": {
+        "Ranges": 8, "DataPlaneSize": 6, "Admit": "ratio", "ReportEvery": 0.5, "ChannelRate": 5000.0,
+        "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0}}
 PATIENCE = 5.0      # real seconds until a scenario that waits for something has failed
 PATHS = {"call": b"POST /v3/kv/txn ", "news": b"GET /v3/kv/watch ", "list": b"GET /v1/endpoints",
          "probe": b"GET /"}
@@ -283,7 +288,8 @@
     return " ".join([type(event).__name__] + [
         one.name if isinstance(one, Backend) else str(one.number) if isinstance(one, (Slice, Proxy))
         else one.value if isinstance(one, Enum) else f"{one:g}" if isinstance(one, float)
-        else ",".join(f"{part:g}" for part in one) or "-" if isinstance(one, tuple) else str(one) for one in values])
+        else ",".join(f"{part:g}" for part in one) or "-" if isinstance(one, tuple) else str(one)
+        for one in values])
 
 
 class Peer:
@@ -313,16 +319,28 @@
 class Network:
     """Plays a network scenario: a controller on loopback, scripted peers, and a clock moved by hand.
 
-    A line holds statements, parted by ` ; `. `settings KEY=JSON ..` changes the site, `known JSON` the list last
-    held, `start` begins. `order KIND ARGS, ..` is what is decided next, `shut_out N SEAL` that so many backends are out, `told WORDS` waits for an event, `untold`
-    says that none is left, `way free|taken|N` is the channel's state. `pass MS` moves the clock.
+    A line holds statements, parted by ` ; `.
 
-    `call`, `news`, `list` and `probe` are the parties called, `call.2` a second one of them, each with `asked
-    WORDS` (waits for a request with these in it), `comes WORDS` (and the clock moves meanwhile), `unasked`, `says STATUS JSON`, `raw TEXT` (with escapes), `line
-    JSON` (a chunk), `opens` (a stream), `breaks` (a reset), `closes`, `stops` and `restarts` (listening), `opened N`.
-    `in NAME opens|says JSON|raw TEXT|hears JSON|silent|closes|ended` is a connection that comes in, `in NAME opens
-    N` many; `note N TEXT`, `noted TEXT` and `stray TEXT` are datagrams from, to and beside peers. `counted NAME N`
-    waits for a counter, `now_counted NAME N` doesn't.
+        settings KEY=JSON ..    changes the site
+        known JSON              the list last held
+        start                   a controller, with a script in place of the decisions
+        order KIND ARGS, ..     what is decided next; `shut_out N SEAL`: that so many are out
+        told WORDS / untold     waits for an event; says that none is left
+        way free|taken|SEAL     what the decisions hear of the channel
+        pass MS                 moves the clock
+        counted NAME N          waits for a counter; `now_counted` doesn't
+        program KEY=VALUE ..    the whole program; it has `signal NAME`, `logs WORDS`, `exits CODE WORDS`
+        note N TEXT / noted TEXT / stray TEXT       datagrams from, to and beside peers
+
+    Those called are `call`, `news`, `list` and `probe` (`call.1` is a connection remembered apart), each with
+
+        asked WORDS             waits for a request with these in it; `comes WORDS`: while the clock moves
+        unasked                 there is none
+        says STATUS JSON / opens / line JSON / raw TEXT     an answer, a stream, a chunk of it, escaped bytes
+        breaks / closes / stops / restarts                  a reset, an end; listening, ends or begins
+
+    and a connection that comes in is `in NAME` with `opens [N]`, `says JSON`, `bytewise JSON`, `raw TEXT`,
+    `hears JSON`, `silent`, `closes` and `ended`.
     """
 
     def __init__(self) -> None:
@@ -332,7 +350,10 @@
         self.parties = {"call": self.relay, "news": self.relay, "list": self.discovery, "probe": self.backend}
         self.inbound: dict[str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
         self.sockets: list[socket.socket] = []
-        self.controller: Controller
+        self.controller: Optional[Controller] = None
+        self.program: Optional[asyncio.subprocess.Process] = None
+        self.address: tuple[str, int] = ("", 0)
+        self.files: list[str] = []
 
     def run(self, text: str) -> None:
         asyncio.run(asyncio.wait_for(self._play(text), 10 * PATIENCE))
@@ -348,13 +369,19 @@
                         await self._do(words[0], words[1:])
                     except Exception as error:
                         raise AssertionError(f"line {number} ({' '.join(words)}): {error!r}") from None
-            self.controller.stop()
-            await self._settle()
-            books = self.controller.books
-            assert not len(books.connections) and not len(books.requests), "a connection or request is left"
+            if self.controller:
+                self.controller.stop()
+                await self._settle()
+                left = len(self.controller.books.connections) + len(self.controller.books.requests)
+                assert not left, f"{left} connections and requests are left"
         finally:
             for one in self.sockets:
                 one.close()
+            for name in self.files:
+                os.unlink(name)
+            if self.program and self.program.returncode is None:
+                self.program.kill()
+                await self.program.wait()
 
     async def _do(self, word: str, rest: list[str]) -> None:
         party, _, suffix = word.partition(".")
@@ -402,11 +429,12 @@
                       counters, Notices(logging.getLogger("tests"), counters, lambda: self.now),
                       Slots(int(sockets)), Slots(int(sockets)), Random(7))
         site = read_map(self.site)
-        place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, own,
-                      (own, self.sockets[0].getsockname()), None, 7, int(sockets), self.known,
-                      read_terms(self.site), site)
+        place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, own if site.peers else None,
+                      (own, self.sockets[0].getsockname()) if site.peers else (), None, 7, int(sockets),
+                      self.known, read_terms(self.site), site)
         self.controller = Controller(place, books, self.script)
         await self.controller.start()
+        self.address = self.controller.reception.where
 
     async def do_pass(self, span: str) -> None:
         end = self.now + float(span)
@@ -432,8 +460,8 @@
         self.controller.tell([])
 
     async def do_shut_out(self, count: str, seal: str) -> None:
-        names = (f"s-{number:03}" + "x" * 195 for number in range(int(count)))
-        await self.do_order(*", ".join([*(f"ShutOut {name} true" for name in names), f"Seal {seal}"]).split(" "))
+        orders = [f"ShutOut s-{number:03}{'x' * 195} true" for number in range(int(count))]
+        await self.do_order(*", ".join([*orders, f"Seal {seal}"]).split(" "))
 
     async def do_told(self, *words: str) -> None:
         wanted = " ".join(words)
@@ -461,6 +489,48 @@
         found = self.controller.books.counters.get(name)
         assert found == float(count), f"it is {found}"
 
+    # The program as a whole, in a process of its own and in real time.
+
+    async def do_program(self, *pairs: str) -> None:
+        """Starts it; `ROUTER_X=TEXT` or `key.key=JSON` changes what it is told, an empty one takes it out."""
+        with socket.socket() as one:
+            one.bind(("127.0.0.1", 0))
+            self.address = one.getsockname()
+        conf = {"seed": "0f", "limits": {"sockets": 64}, "known": self.known, "settings": self.site,
+                "distributor": {"address": "%s:%d" % self.relay.where},
+                "peers": [], "peer_listen": "%s:%d" % self.address}
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            self.files.append(file.name)
+            environment = {"ROUTER_NAME": "n0", "ROUTER_LISTEN": "%s:%d" % self.address,
+                           "ROUTER_CONFIG": file.name, "ROUTER_DISCOVERY": "%s:%d" % self.discovery.where}
+            for key, value in (pair.split("=", 1) for pair in pairs if "=" in pair):
+                part, (*path, last) = environment if key.startswith("ROUTER") else conf, key.split(".")
+                for name in path:
+                    part = part[name]
+                part[last] = value if part is environment else json.loads(value) if value else None
+                if not value:
+                    del part[last]
+            file.write(pairs[0] if pairs and "=" not in pairs[0] else json.dumps(conf))
+        self.program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lifthinge", env=environment, stderr=asyncio.subprocess.PIPE)
+
+    async def do_logs(self, *words: str) -> None:
+        """Waits for a log line that has these words."""
+        while line := (await asyncio.wait_for(self.program.stderr.readline(), PATIENCE)).decode():
+            if all(word in line for word in words):
+                return
+        raise AssertionError("it logged nothing such")
+
+    async def do_exits(self, code: str, *words: str) -> None:
+        """Waits for its end; with words, for one log line that has them, and no other."""
+        rest = (await asyncio.wait_for(self.program.stderr.read(), PATIENCE)).decode()
+        found = await self.program.wait()
+        assert found == int(code), f"it ended with {found}: {rest}"
+        assert not words or rest.count("\n") == 1 and all(word in rest for word in words), f"it logged {rest}"
+
+    async def do_signal(self, name: str) -> None:
+        self.program.send_signal(getattr(signal, name))
+
     # Those that are called.
 
     async def peer_asked(self, party: str, name: str, *words: str) -> None:
@@ -528,7 +598,7 @@
 
     async def in_opens(self, name: str, count: str = "1") -> None:
         for _ in range(int(count)):
-            pair = await asyncio.open_connection(*self.controller.reception.where)
+            pair = await asyncio.open_connection(*self.address)
             self.inbound.setdefault(name, []).append(pair)
             await self._settle()
 
