Held calls stay on the channel's books; settled orders don't pass for foreign changes

Found by reading, each with a scenario that fails without the code: - A call that can't go out for long (relay out of reach) was off the module's books after six queue lengths, and the next call could fill the channel a second time once both went out. channel.py restamps what is held until now. - What stands is a picture of the moment a stream opens and is closed 200 ms later; orders settled in between made tables pass for changed by others. memory/calls.py notes what was settled since. - A number too long for a float in a report raised past the door (OverflowError): it is out of range now. - News lines are read up to 1 MiB a chunk, as the relay may write all that stands at once. - A line of work that fails goes on after 250 ms.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -6,6 +6,8 @@
 (10.0, 1)
 >>> books.repeated(1, 5.0); books.waiting(), books.cost(1)
 (20.0, 10.0)
+>>> books.forget(8.0, 8.0, held=9.0); books.waiting(), len(books.pushes)
+(10.0, 1)
 >>> books.confirmed(1, "q"); books.waiting(), books.unconfirmed()
 (0.0, 0)
 """
@@ -49,8 +51,11 @@
         self.pushes.append(now)
         self.pushed_at = now
 
-    def forget(self, sent_before: float, pushed_before: float) -> None:
-        """Takes off the books what is that old, confirmed or not."""
+    def forget(self, sent_before: float, pushed_before: float, held: float = 0.0) -> None:
+        """Takes off the books what is that old, confirmed or not; what is held until now is new."""
+        if held and self.flight and self.pushes:
+            self.flight[-1] = (*self.flight[-1][:3], held)
+            self.pushes[-1] = self.pushed_at = held
         while self.flight and self.flight[0][3] < sent_before:
             self.flight.popleft()
         while self.pushes and self.pushes[0] <= pushed_before:
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -510,7 +510,7 @@
         if self.dirty:
             self._list_owed()
         self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
-                            self.now - self.terms.update_window)
+                            self.now - self.terms.update_window, self.now * self.way.held)
         each, head = max(len(self.proxies), 1), self.terms.head_lines + 1
         whole = self.terms.pending_max / each
         most = whole * URGENT_PART - head       # that is ever free; a small channel keeps back less of it
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -236,6 +236,11 @@
     free: bool
     unknown: int = 0
 
+    @property
+    def held(self) -> bool:
+        """Whether the last orders have yet to go out, or to be answered."""
+        return not self.free and not self.unknown
+
 
 Event = Union[FleetNews, TimerDue, ProbeResult, PeerNote, ProxyJoined, ProxyLeft, TriesReport, ProxyLoad,
               SliceHeat, Leased, StoredLine, SealConfirmed, ChannelState]
--- a/lifthinge/memory/calls.py
+++ b/lifthinge/memory/calls.py
@@ -7,13 +7,17 @@
 >>> [p.body for p in calls.front(9)], [p.body for p in calls.front(99)], calls.seal()
 ([b'12345', b'123'], [b'12345', b'123', b'12'], 7)
 >>> call = calls.front(99)
+>>> calls.touched(one, 0)
+True
 >>> calls.slice_gone(one); calls.settle(call[:2]); [p.body for p in calls.front(99)], len(calls)
 ([b'12'], 1)
+>>> calls.touched(one, 0), calls.touched(one, calls.settled)
+(True, False)
 """
 from dataclasses import dataclass
 from typing import Iterable, Optional
 
-from lifthinge.interface import Order, Seal, Slice
+from lifthinge.interface import ClearTable, Order, Seal, SetLine, Slice
 
 
 @dataclass(eq=False, slots=True)
@@ -27,6 +31,8 @@
 
     def __init__(self) -> None:
         self._waiting: list[Pending] = []
+        self.settled = 0                            # orders, ever
+        self._settled_at: dict[Slice, int] = {}     # which of them was a slice's last
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -46,6 +52,10 @@
 
     def settle(self, done: list[Pending]) -> None:
         self._waiting = [one for one in self._waiting if one not in done]
+        for one in done:
+            self.settled += 1
+            if isinstance(one.order, (SetLine, ClearTable)):
+                self._settled_at[one.order.slice] = self.settled
 
     def slice_gone(self, gone: Slice) -> None:
         """What was ordered for a slice that has been taken away, or given anew, dies with it."""
@@ -54,5 +64,7 @@
     def seal(self) -> Optional[int]:
         return next((one.order.number for one in self._waiting if isinstance(one.order, Seal)), None)
 
-    def touches(self, one: Slice) -> bool:
-        return any(getattr(waiting.order, "slice", None) is one for waiting in self._waiting)
+    def touched(self, one: Slice, since: int) -> bool:
+        """Whether a slice has orders under way, or had some settled after so many."""
+        return self._settled_at.get(one, 0) > since or any(
+            getattr(waiting.order, "slice", None) is one for waiting in self._waiting)
--- a/lifthinge/memory/stand.py
+++ b/lifthinge/memory/stand.py
@@ -9,7 +9,8 @@
 class Stand:
     """Joined proxies, slices in charge, and their lines, as a stream opens with them."""
 
-    def __init__(self) -> None:
+    def __init__(self, calls: Calls) -> None:
+        self._calls, self._since = calls, calls.settled     # orders settled since may show in it, or not
         self.joined: dict[Proxy, ProxyJoined] = {}
         self.lines: dict[Slice, dict[Backend, float]] = {}
 
@@ -26,14 +27,15 @@
         elif isinstance(event, StoredLine):
             self.lines.setdefault(event.slice, {})[event.backend] = event.weight
 
-    def difference(self, world: World, calls: Calls) -> list[Event]:
-        """What vanished, what is new, and tables that differ though no order is under way for them."""
+    def difference(self, world: World) -> list[Event]:
+        """What vanished, what is new, and tables that differ though no order has touched them meanwhile."""
         told: list[Event] = [ProxyLeft(proxy) for proxy in world.joined if proxy not in self.joined]
         told += [event for proxy, event in self.joined.items()
                  if proxy not in world.joined or event.first_time and not world.joined[proxy]]
         told += [Leased(one, False) for one in world.held if one not in self.lines]
         for one, lines in self.lines.items():
-            if one not in world.held or not (calls.touches(one) or _same(one.lines, lines)):
+            touched = self._calls.touched(one, self._since)
+            if one not in world.held or not touched and not _same(one.lines, lines):
                 told.append(Leased(one, True))
                 told += [StoredLine(one, backend, weight) for backend, weight in lines.items()]
         return told
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -1,7 +1,7 @@
 """The controller: gathers the events of a loop turn, lets the module decide once, hands the orders on."""
 import asyncio
 import logging
-from typing import Any, Awaitable, Callable, Iterable, Optional, Protocol
+from typing import Any, Awaitable, Callable, Coroutine, Iterable, Optional, Protocol
 
 from lifthinge.interface import (
     ChannelState, Event, FetchList, FleetNews, FollowList, Form, Leased, Listing, Order, Phase, Probe,
@@ -19,6 +19,7 @@
 from lifthinge.wire.relay import Relay
 
 log = logging.getLogger(__name__)
+WORK_REST = 250.0           # ms until a line of work that failed goes on
 DISCOVERY_WAIT = 1_000.0    # ms after the start, until the list last held must do
 
 
@@ -55,7 +56,7 @@
             RepeatCall: lambda o: self.relay.repeat(o.seal),
             Say: lambda o: log.info("decided", {"what": o.text}),
             FollowList: lambda o: self._follow(o.on),
-            FetchList: lambda o: self._run("fetch", self.discovery.fetch())}
+            FetchList: lambda o: self._run("fetch", self.discovery.fetch)}
 
     async def start(self) -> None:
         found = self.discovery.known(self.place.known)
@@ -64,8 +65,8 @@
         await self._bind("ROUTER_LISTEN", self.reception.open(self.place.listen))
         if self.place.peer_listen:
             await self._bind("peer_listen", self.peers.open(self.place.peer_listen))
-        self._run("relay", self.relay.run())
-        self._run("news", self.news.run())
+        self._run("relay", self.relay.run)
+        self._run("news", self.news.run)
         if not self.place.site.news_on_request:
             self._follow(True)
         self.books.deadlines.set(DISCOVERY_WAIT, self._wait_no_more)
@@ -158,19 +159,22 @@
 
     def _follow(self, on: bool) -> None:
         if on:
-            self._run("follow", self.discovery.follow())
+            self._run("follow", self.discovery.follow)
         elif "follow" in self._tasks:
             self._tasks["follow"].cancel()
 
-    def _run(self, name: str, work: Any) -> None:
+    def _run(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Runs one line of work; another under the same name gives way to it."""
         if name in self._tasks:
             self._tasks[name].cancel()
-        self._tasks[name] = asyncio.get_running_loop().create_task(work)
-        self._tasks[name].add_done_callback(lambda task: self._ended(name, task))
-
-    def _ended(self, name: str, task: asyncio.Task) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            log.error("work_failed", {"work": name, "error": repr(error)}, exc_info=error)
-            self.books.counters.add("work_failed")
+        self._tasks[name] = asyncio.get_running_loop().create_task(self._guard(name, work))
+
+    async def _guard(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """No fault ends a line of work for good."""
+        while True:
+            try:
+                return await work()
+            except Exception as error:
+                log.error("work_failed", {"work": name, "error": repr(error)}, exc_info=True)
+                self.books.counters.add("work_failed")
+            await self.books.pause(WORK_REST)
--- a/lifthinge/wire/buffer.py
+++ b/lifthinge/wire/buffer.py
@@ -35,7 +35,7 @@
         """Free space to write to; more is made if it has run out, up to the limit."""
         if self._start == self._end:
             self._start = self._end = 0
-        if self._end == len(self._data):
+        if self._end > len(self._data) * 3 // 4:
             held = len(self)
             if held * 2 > len(self._data) and len(self._data) < self.limit:
                 grown = bytearray(min(len(self._data) * 2, self.limit))   # a new one: views pin the old
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -1,6 +1,5 @@
 """The door: ids, names and units of the sockets to the decisions' types, and back."""
 import ipaddress
-import math
 from typing import Any, Callable, Union
 
 from lifthinge.interface import (
@@ -12,7 +11,7 @@
 from lifthinge.wire.frames import Skip
 
 COUNT_MOST = float(1 << 32)
-TIME_MOST = 1e15
+NUMBER_MOST = 1e15
 _REQUIRED = object()
 
 
@@ -52,7 +51,7 @@
             return default
         if found is None or isinstance(found, bool) or not isinstance(found, (int, float)):
             raise _Unfit(f"{name} is no number" if name in self._message else f"{name} is missing")
-        if not (math.isfinite(found) and 0 <= found <= most):
+        if not 0 <= found <= most:      # nor is what is not a number, or not finite
             raise _Unfit(f"{name} is out of range")
         return float(found)
 
@@ -96,8 +95,8 @@
     ((0.5, 4.0), ())
     """
     values = [found.get(names.LOAD_NAMES.get(name, name)) for name in wanted]
-    fit = all(isinstance(v, (int, float)) and not isinstance(v, bool) and math.isfinite(v) for v in values)
-    return tuple(float(v) for v in values) if fit else ()
+    fit = all(type(value) in (int, float) and abs(value) < NUMBER_MOST for value in values)
+    return tuple(float(value) for value in values) if fit else ()
 
 
 class Door:
@@ -222,7 +221,7 @@
             raise _Unfit("state is not known")
         phase, known = names.PHASES[state], self.world.backends.get(name)
         zone = f.place("zone", self.site.zones)
-        started, size = f.number("started_ms", 0.0, TIME_MOST), f.number("weight", 1.0)
+        started, size = f.number("started_ms", 0.0, NUMBER_MOST), f.number("weight", 1.0)
         try:
             where = address(f.text("addr"))
         except ValueError:
--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -22,18 +22,17 @@
 SILENCE = 2_200.0       # ms without a line; a sign of life comes every second
 LINES_FOLLOW = 30.0     # ms within which a slice's lines follow the word that it is given
 RETRY_LEAST, RETRY_MOST = 50.0, 250.0
-LINE_MOST = 64 << 10
 NEVER = float("inf")
 
 
 class NewsConnection(HttpConnection):
     """Hands on line by line for as long as they come; `trouble` says why another stream is needed."""
 
-    def __init__(self, books: Books, line: Callable[["NewsConnection", bytes], None]) -> None:
-        super().__init__(books, "relay_news", LINE_MOST)
+    def __init__(self, books: Books, stand: Stand, line: Callable[["NewsConnection", bytes], None]) -> None:
+        super().__init__(books, "relay_news")
         self._line = line
         self._silence: Optional[Deadline] = None
-        self.stand: Optional[Stand] = Stand()      # until what stands has been told
+        self.stand: Optional[Stand] = stand         # until what stands has been told
         self.trouble: asyncio.Future[Failure] = asyncio.get_running_loop().create_future()
 
     def open(self, data: bytes) -> None:
@@ -102,7 +101,8 @@
             self._live.abort()
 
     async def _once(self) -> Failure:
-        connection = await connect(self.books, lambda: NewsConnection(self.books, self._take), self.where)
+        connection = await connect(
+            self.books, lambda: NewsConnection(self.books, Stand(self.calls), self._take), self.where)
         if isinstance(connection, Failure):
             return connection
         try:
@@ -133,7 +133,7 @@
         former, self._live = self._live, connection
         if former is not None and former is not connection:
             former.abort()
-        told = connection.stand.difference(self.world, self.calls) if connection.stand else []
+        told = connection.stand.difference(self.world) if connection.stand else []
         connection.stand = None
         self.books.counters.add("news.stands")
         self.books.counters.add("news.differences", len(told))
--- a/tests/play.py
+++ b/tests/play.py
@@ -12,13 +12,15 @@
     given S a:W b:W / taken S
     heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
     confirm yes|no          whether seals are confirmed (after 100 ms)
+    channel free|held|unknown       what is heard of it from now on; unknown: the last call's fate
     kill                    the instance dies; the next one knows nothing
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
 
 and, as assertions: `owner S a`, `part S a P` (of a slice's
 RPCs, were it let in), `bare S`, `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
 `unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
-wait, at most), `followed N`, `bound N`. In all scenarios a slice keeps an open line while one is ready.
+wait, at most), `followed N`, `bound N`, `repeated N` (calls). In all scenarios a slice keeps
+an open line while one is ready.
 """
 import asyncio
 import json
@@ -41,7 +43,7 @@
 from lifthinge.choice import Choice
 from lifthinge.interface import (
     Backend, BindProxy, ChannelState, ClearTable, FleetNews, FollowList, Form, Leased, Listing, Method, Phase,
-    Proxy, ProxyJoined, ProxyLeft, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
+    Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
     SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
 from lifthinge.memory.books import Books
 from lifthinge.memory.counters import Counters, Notices
@@ -73,6 +75,7 @@
         self.choice, self.joined, self.tables, self.out, self.levels = None, {}, {}, set(), {}
         self.said, self.sent, self.followed, self.bound, self.waiting = [], 0, 0, set(), {}
         self.next_report, self.due = self.now + self.terms.report_every, []
+        self.state, self.repeats, self.sealed = None, 0, 0
 
     def name(self, kind: type, name: str) -> object:
         key = kind, name
@@ -85,11 +88,12 @@
         if self.choice is None:
             self.choice = Choice(self.terms, 7)
         lines, marks = 0, []
-        for order in self.choice.decide(self.now, events):
+        for order in self.choice.decide(self.now, [self.state, *events] if self.state else events):
             lines += isinstance(order, (SetLine, ShutOut, SetLevel, ClearTable, Seal))
             self.take(order)
             marks += [order.number] if isinstance(order, Seal) else []
         for number in marks:
+            self.sealed = number
             self.waiting[number] = (lines + self.terms.head_lines) * len(self.joined)
             if self.confirming:
                 answers = [SealConfirmed(p, number, 100.0) for p in self.joined]
@@ -116,6 +120,7 @@
         elif isinstance(order, Say):
             self.said.append(order.text)
         self.followed += isinstance(order, FollowList)
+        self.repeats += isinstance(order, RepeatCall)
         self.bound |= {order.proxy} if isinstance(order, BindProxy) else set()
         self.sent += isinstance(order, (SetLine, ShutOut, SetLevel))
 
@@ -198,6 +203,13 @@
     def do_confirm(self, word: str) -> None:
         self.confirming = word == "yes"
 
+    def do_channel(self, state: str) -> None:
+        self.state = ChannelState(state == "free", self.sealed if state == "unknown" else 0)
+        self.tell()
+
+    def do_repeated(self, count: str) -> None:
+        assert self.repeats == int(count), f"it was {self.repeats} times"
+
     def do_kill(self) -> None:
         self.names = {key: value for key, value in self.names.items() if key[0] is not Backend}
         self.reborn()
@@ -429,9 +441,9 @@
                       counters, Notices(logging.getLogger("tests"), counters, lambda: self.now),
                       Slots(int(sockets)), Slots(int(sockets)), Random(7))
         site = read_map(self.site)
-        place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, own if site.peers else None,
-                      (own, self.sockets[0].getsockname()) if site.peers else (), None, 7, int(sockets),
-                      self.known, read_terms(self.site), site)
+        peer_listen, peers = (own, (own, self.sockets[0].getsockname())) if site.peers else (None, ())
+        place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, peer_listen, peers,
+                      None, 7, int(sockets), self.known, read_terms(self.site), site)
         self.controller = Controller(place, books, self.script)
         await self.controller.start()
         self.address = self.controller.reception.where
