--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -4,8 +4,10 @@
 >>> books.sent(1, 10.0, ["p", "q"], 0.0)
 >>> books.confirmed(1, "p"); books.waiting(), books.unconfirmed()
 (10.0, 1)
->>> books.repeated(1, 5.0); books.waiting(), books.cost(1)
+>>> books.repeated(1, 5.0, unrun=False); books.waiting(), books.cost(1)
 (20.0, 10.0)
+>>> books.repeated(1, 6.0, unrun=True); books.waiting(), len(books.pushes)
+(10.0, 2)
 >>> books.forget(8.0, 8.0, held=9.0); books.waiting(), len(books.pushes)
 (10.0, 1)
 >>> books.confirmed(1, "q"); books.waiting(), books.unconfirmed()
@@ -43,13 +45,13 @@
         """Lines for each receiver of what went out under a seal."""
         return next((lines for number, lines, _, _ in self.flight if number == seal), 0.0)
 
-    def repeated(self, seal: int, now: float) -> None:
-        """Books once more what went out under a seal."""
-        found = next(((lines, missing) for number, lines, missing, _ in self.flight if number == seal), None)
-        if found:
-            self.flight.append((seal, found[0], dict(found[1]), now))
-        self.pushes.append(now)
-        self.pushed_at = now
+    def repeated(self, seal: int, now: float, unrun: bool) -> None:
+        """Books what goes out again under a seal: once more, or in place of what did not run."""
+        lines, missing = next((one[1:3] for one in self.flight if one[0] == seal), (0.0, {}))
+        if unrun and self.pushes:
+            self.pushes.pop()
+            self.flight = deque(one for one in self.flight if one[0] != seal)
+        self.sent(seal, lines, missing, now)
 
     def forget(self, sent_before: float, pushed_before: float, held: float = 0.0) -> None:
         """Takes off the books what is that old, confirmed or not; what is held until now is new."""
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -521,8 +521,8 @@
             return min(lines, head, (most - back) / 2)
         room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
         unrun = self.now - self.channel.pushed_at >= PUSH_AFTER  # a call of unknown fate: none confirmed it
-        if self.way.unknown and room > (0.0 if unrun else self.channel.cost(self.way.unknown)):
-            self.channel.repeated(self.way.unknown, self.now)
+        if self.way.unknown and (unrun or room > self.channel.cost(self.way.unknown)):
+            self.channel.repeated(self.way.unknown, self.now, unrun)
             self.said.append(RepeatCall(self.way.unknown))
         room *= self.way.free
         for backend in self.backends:
