--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -86,6 +86,7 @@
         self.relay.close()
         self.news.close()
         self.discovery.close()
+        self.probes.close()
         self.peers.close()
 
     def tell(self, events: list[Event]) -> None:
--- a/lifthinge/wire/collectors.py
+++ b/lifthinge/wire/collectors.py
@@ -1,6 +1,6 @@
 """The controller's address: collectors with their reports, whoever asks for a sign of life, and strangers."""
 import asyncio
-import logging
+import socket
 from typing import Callable, Optional, Union
 
 from lifthinge.interface import Event
@@ -11,11 +11,11 @@
 from lifthinge.wire.door import Door
 from lifthinge.wire.frames import FRAME_MOST, Lost, Skip, pack, read_frame
 
-log = logging.getLogger(__name__)
 STRANGER_MOST = 64 << 10    # bytes of a message from one that has not named its zone
 COLLECTORS_MOST = 8         # of one zone; the oldest gives way
 FIRST_WORD = 5_000.0        # ms until a connection has said something that can be used
 IDLE_MOST = 60_000.0        # ms between messages
+SEND_BUFFER = 32 << 10      # bytes that the system holds for one that does not read
 
 
 class Reporter(Connection):
@@ -32,6 +32,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         self._deadline = self.books.deadlines.set(FIRST_WORD, self._too_long)
         self.reception.came(self)
 
--- a/lifthinge/wire/frames.py
+++ b/lifthinge/wire/frames.py
@@ -1,13 +1,15 @@
 """Frames at the controller's address: four bytes of length, then one JSON object.
 
 >>> from lifthinge.wire.buffer import Buffer
->>> def feed(data, reader=None):
+>>> def feed(data):
 ...     buffer = Buffer(FRAME_MOST + 4)
 ...     buffer.room()[:len(data)] = data
 ...     buffer.wrote(len(data))
 ...     return read_frame(buffer)
 >>> feed(pack({"t": "hb"})), feed(pack({"t": "hb"})[:-1]), feed(b"\\0\\0")
 ({'t': 'hb'}, None, None)
+>>> all(feed(pack({"t": "hb", "n": 1})[:cut]) is None for cut in range(len(pack({"t": "hb", "n": 1}))))
+True
 >>> feed(b"\\0\\0\\0\\0"), feed(b"\\0\\x10\\0\\1"), feed(b"\\0\\0\\0\\2[]"), feed(b"\\0\\0\\0\\3{a}")
 (Lost(why='length 0'), Lost(why='length 1048577'), Skip(why='not an object'), Skip(why='not JSON'))
 """
--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -124,7 +124,7 @@
             self.books.counters.add(f"news.{type(event).__name__}")
             if connection.stand is not None:
                 connection.stand.take(event)
-            elif connection is self._live:
+            else:
                 self._pass(event)
 
     def _end_stand(self, connection: NewsConnection) -> None:
--- a/lifthinge/wire/probes.py
+++ b/lifthinge/wire/probes.py
@@ -33,12 +33,18 @@
             self._running[task] = backend
             task.add_done_callback(lambda done: self._running.pop(done, None))
 
+    def close(self) -> None:
+        for task in self._running:
+            task.cancel()
+
     async def _one(self, backend: Backend) -> None:
         began, fields = self.books.now, self.door.site.load_fields
         caller = Caller(self.books, "probe", self.world.addresses[backend])
         path = names.LOAD_PATH if fields else names.HEALTH_PATH
-        result = await caller.call(get(path, caller.where), PROBE_WAIT)
-        caller.close()
+        try:
+            result = await caller.call(get(path, caller.where), PROBE_WAIT)
+        finally:
+            caller.close()
         load = read_load(read_text(result.body), fields) if isinstance(result, Answer) and fields else ()
         self.tell(ProbeResult(backend, outcome(result), self.books.now - began, load))
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -334,9 +334,10 @@
     A line holds statements, parted by ` ; `.
 
         settings KEY=JSON ..    changes the site
-        known JSON              the list last held
+        known JSON              the list last held; `fleet N`: so many backends, all at one address
         start                   a controller, with a script in place of the decisions
-        order KIND ARGS, ..     what is decided next; `shut_out N SEAL`: that so many are out
+        order KIND ARGS, ..     what is decided next; `shut_out N SEAL`: that so many are out; `probe_all`
+        choke                   nothing more leaves on the call's connection
         told WORDS / untold     waits for an event; says that none is left
         way free|taken|SEAL     what the decisions hear of the channel
         pass MS                 moves the clock
@@ -352,7 +353,7 @@
         breaks / closes / stops / restarts                  a reset, an end; listening, ends or begins
 
     and a connection that comes in is `in NAME` with `opens [N]`, `says JSON`, `bytewise JSON`, `raw TEXT`,
-    `hears JSON`, `silent`, `closes` and `ended`.
+    `floods N JSON` (without reading), `hears JSON`, `silent`, `closes` and `ended`.
     """
 
     def __init__(self) -> None:
@@ -362,6 +363,7 @@
         self.parties = {"call": self.relay, "news": self.relay, "list": self.discovery, "probe": self.backend}
         self.inbound: dict[str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
         self.sockets: list[socket.socket] = []
+        self.udp: list[socket.socket] = []
         self.controller: Optional[Controller] = None
         self.program: Optional[asyncio.subprocess.Process] = None
         self.address: tuple[str, int] = ("", 0)
@@ -373,9 +375,15 @@
     async def _play(self, text: str) -> None:
         for peer in (self.relay, self.discovery, self.backend):
             await peer.open()
+        deaf = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.sockets += [deaf, *(socket.socket() for _ in range(3))]    # the last fill its queue
+        for one in self.sockets[1:]:
+            one.setblocking(False)
+            one.connect_ex(deaf.getsockname())
         try:
             for number, raw in enumerate(text.splitlines(), 1):
-                text = raw.split("#")[0].replace("$backend", "%s:%d" % self.backend.where[:2])
+                text = raw.split("#")[0].replace("$backend", "%s:%d" % self.backend.where).replace(
+                    "$deaf", "%s:%d" % deaf.getsockname())
                 for words in (one.strip().split(" ") for one in text.split(" ; ") if one.strip()):
                     try:
                         await self._do(words[0], words[1:])
@@ -387,7 +395,7 @@
                 left = len(self.controller.books.connections) + len(self.controller.books.requests)
                 assert not left, f"{left} connections and requests are left"
         finally:
-            for one in self.sockets:
+            for one in self.sockets + self.udp:
                 one.close()
             for name in self.files:
                 os.unlink(name)
@@ -428,20 +436,24 @@
     async def do_known(self, text: str) -> None:
         self.known = json.loads(text)
 
+    async def do_fleet(self, count: str) -> None:
+        self.known["servers"] = [{"id": f"s-{number}", "addr": "%s:%d" % self.backend.where, "zone": "za",
+                                  "state": "ready"} for number in range(int(count))]
+
     async def do_start(self, sockets: str = "64") -> None:
         for _ in range(3):
             one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             one.bind(("127.0.0.1", 0))
             one.setblocking(False)
-            self.sockets.append(one)
-        own = self.sockets[0].getsockname()
-        self.sockets.pop(0).close()
+            self.udp.append(one)
+        own = self.udp[0].getsockname()
+        self.udp.pop(0).close()
         counters = Counters()
         books = Books(Deadlines(lambda: self.now, lambda delay, run: SimpleNamespace(cancel=lambda: None)),
                       counters, Notices(logging.getLogger("tests"), counters, lambda: self.now),
                       Slots(int(sockets)), Slots(int(sockets)), Random(7))
         site = read_map(self.site)
-        peer_listen, peers = (own, (own, self.sockets[0].getsockname())) if site.peers else (None, ())
+        peer_listen, peers = (own, (own, self.udp[0].getsockname())) if site.peers else (None, ())
         place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, peer_listen, peers,
                       None, 7, int(sockets), self.known, read_terms(self.site), site)
         self.controller = Controller(place, books, self.script)
@@ -464,7 +476,7 @@
             name, *args = one.split()
             kind = getattr(interface, name)
             values = [kinds[f.name](arg) if f.name in kinds and arg != "all" else None if arg == "all"
-                      else arg.encode() if f.name == "content" else arg if f.name == "text"
+                      else unescape([arg]) if f.name == "content" else arg if f.name == "text"
                       else Retry(int(arg)) if f.name == "retry" else tuple(json.loads(arg))
                       if f.name == "methods" else json.loads(arg) for f, arg in zip(fields(kind), args)]
             orders.append(kind(*values))
@@ -475,6 +487,13 @@
         orders = [f"ShutOut s-{number:03}{'x' * 195} true" for number in range(int(count))]
         await self.do_order(*", ".join([*orders, f"Seal {seal}"]).split(" "))
 
+    async def do_probe_all(self) -> None:
+        await self.do_order(*", ".join(f"Probe {name}" for name in self.controller.world.backends).split(" "))
+
+    async def do_choke(self) -> None:
+        """What is written to the relay's call from now on does not leave."""
+        self.controller.relay._caller._kept.pause_writing()
+
     async def do_told(self, *words: str) -> None:
         wanted = " ".join(words)
         await self._until(lambda: wanted in self.script.told, lambda: f"it was told {self.script.told}")
@@ -618,6 +637,14 @@
         body = " ".join(words).encode()
         await self._send(name, len(body).to_bytes(4, "big") + body)
 
+    async def in_floods(self, name: str, count: str, *words: str) -> None:
+        """Says it so often, and reads nothing."""
+        body = " ".join(words).encode()
+        for _, writer in self.inbound[name]:
+            writer.transport.pause_reading()
+            writer.write((len(body).to_bytes(4, "big") + body) * int(count))
+        await self._settle()
+
     async def in_raw(self, name: str, *words: str) -> None:
         await self._send(name, unescape(words))
 
@@ -657,13 +684,13 @@
     # Datagrams.
 
     async def do_note(self, number: str, *words: str) -> None:
-        self.sockets[int(number) - 1].sendto(unescape(words), self.controller.peers.peers[0])
+        self.udp[int(number) - 1].sendto(unescape(words), self.controller.peers.peers[0])
 
     async def do_stray(self, *words: str) -> None:
-        self.sockets[1].sendto(unescape(words), self.controller.peers.peers[0])
+        self.udp[1].sendto(unescape(words), self.controller.peers.peers[0])
 
     async def do_noted(self, *words: str) -> None:
-        found = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.sockets[0], 512), PATIENCE)
+        found = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.udp[0], 512), PATIENCE)
         assert found == unescape(words), f"it is {found!r}"
 
 
