Watches of 4 s: news in answer counts as told no sooner than other news

With waits of 1 s a silent agent's news counted after 3 s at the latest, though asked for again by then.

--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -12,7 +12,7 @@
 from lifthinge.wire.frames import Skip, read_object
 
 log = logging.getLogger(__name__)
-WATCH_WAIT = 1_000      # ms that a watch asks discovery to wait: a silent one is found out soon after
+WATCH_WAIT = 4_000      # ms that a watch asks discovery to wait: a silent one is found out soon after
 ANSWER_WAIT = 700.0     # beyond that
 RETRY_LEAST, RETRY_MOST = 30.0, 150.0
 
