All names of the sockets in one table; a call called off takes its connection along

Found by reading: a subscription asked for again while one ran used the same connection with a request under way, and an answer could have passed for another's; the scenario on_request fails without the change. What can't be written because the connection is closing counts as not sent. door.py named fields itself; they are in names.py now.

--- a/lifthinge/wire/client.py
+++ b/lifthinge/wire/client.py
@@ -134,7 +134,11 @@
                 self.books.counters.add(f"{self.kind}.failed.{found.reach.value}.{found.cause.value}")
                 return found
             connection = self._kept = found
-        return await connection.ask(data, wait)
+        try:
+            return await connection.ask(data, wait)
+        except asyncio.CancelledError:      # called off: the answer, if it comes, is nobody's
+            self.close()
+            raise
 
     def close(self) -> None:
         if self._kept is not None:
--- a/lifthinge/wire/connection.py
+++ b/lifthinge/wire/connection.py
@@ -72,6 +72,7 @@
 
     def write(self, data: bytes) -> None:
         if self.lost or self.transport is None or self.transport.is_closing():
+            self.unsent = True
             return
         self.transport.write(data)
         if self.transport.get_write_buffer_size() > UNREAD_MOST:
--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -98,8 +98,8 @@
 
     def _read(self, entries: list) -> tuple[list[Listing], set]:
         """The entries that can be used, and every id that is named, usable or not."""
-        listings, named = [], {entry.get("id") for entry in entries
-                               if isinstance(entry, dict) and isinstance(entry.get("id"), str)}
+        listings, named = [], {entry.get(names.ID) for entry in entries
+                               if isinstance(entry, dict) and isinstance(entry.get(names.ID), str)}
         for entry in entries:
             listing = self.door.listing(entry)
             if isinstance(listing, Skip):
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -85,7 +85,7 @@
 
     def load(self, wanted: tuple[str, ...]) -> tuple[float, ...]:
         """Values by name; a report that lacks one counts as absent."""
-        found = self._message.get("load")
+        found = self._message.get(names.LOAD)
         return read_load(found, wanted) if isinstance(found, dict) else ()
 
 
@@ -110,16 +110,17 @@
             names.JOINED: self._joined, names.LEFT: self._left, names.CONFIRMED: self._confirmed,
             names.LEASED: self._leased, names.LINE: self._line}
         self._orders: dict[type, Callable[[Any], dict[str, Any]]] = {
-            SetLine: lambda o: {names.DO: names.SET, "group": o.slice.number, "server": o.backend.ep,
-                                "weight": o.weight},
-            ClearTable: lambda o: {names.DO: names.CLEAR, "group": o.slice.number},
-            BindProxy: lambda o: {names.DO: names.BIND, "group": o.slice.number, "proxy": o.proxy.number},
-            ShutOut: lambda o: {names.DO: names.OUT if o.out else names.IN, "server": o.backend.ep},
+            SetLine: lambda o: {names.DO: names.SET, names.TABLE: o.slice.number, names.BACKEND: o.backend.ep,
+                                names.SIZE: o.weight},
+            ClearTable: lambda o: {names.DO: names.CLEAR, names.TABLE: o.slice.number},
+            BindProxy: lambda o: {names.DO: names.BIND, names.TABLE: o.slice.number,
+                                  names.PROXY: o.proxy.number},
+            ShutOut: lambda o: {names.DO: names.OUT if o.out else names.IN, names.BACKEND: o.backend.ep},
             SetLevel: self._level,
-            Seal: lambda o: {names.DO: names.SEAL, "nonce_out": o.number, "on": int(o.everyone)}}
+            Seal: lambda o: {names.DO: names.SEAL, names.SEAL_SET: o.number, names.EVERYONE: int(o.everyone)}}
 
     def zone(self, message: dict[str, Any]) -> Union[int, Skip]:
-        return self._guard(lambda: Fields(message).place("zone", self.site.zones))
+        return self._guard(lambda: Fields(message).place(names.ZONE, self.site.zones))
 
     def report(self, message: dict[str, Any]) -> Union[Event, Skip]:
         """What a collector passed on."""
@@ -127,9 +128,10 @@
 
     def news(self, message: dict[str, Any], stands: bool) -> Union[Event, Skip]:
         """What the relay told; of what `stands`, a proxy may leave of which nothing was told before."""
-        event = self._read(self._news, message.get(names.NEWS_KIND), message.get(names.FIELDS))
-        of_joined = isinstance(event, (ProxyLeft, SealConfirmed)) and not stands
-        return Skip("proxy has not joined") if of_joined and event.proxy not in self.world.joined else event
+        event = self._read(self._news, message.get(names.NEWS_KIND), message.get(names.NEWS_FIELDS))
+        if isinstance(event, (ProxyLeft, SealConfirmed)) and not stands and event.proxy not in self.world.joined:
+            return Skip("the proxy has not joined")
+        return event
 
     def listing(self, entry: Any) -> Union[Listing, Skip]:
         """One entry of the list; its address is noted."""
@@ -138,10 +140,10 @@
     def version(self, answer: dict[str, Any]) -> Union[tuple[int, bool, list], Skip]:
         """The version of a list, whether it is whole, and its entries."""
         def read() -> tuple[int, bool, list]:
-            entries = answer.get("servers")
+            entries = answer.get(names.LISTED)
             if not isinstance(entries, list):
-                raise _Unfit("servers is no list")
-            return Fields(answer).whole("version"), Fields(answer).flag("full"), entries
+                raise _Unfit(f"{names.LISTED} is no list")
+            return Fields(answer).whole(names.VERSION), Fields(answer).flag(names.WHOLE), entries
         return self._guard(read)
 
     def order(self, order: Any) -> dict[str, Any]:
@@ -164,39 +166,39 @@
             return Skip(str(why))
 
     def _backend(self, fields: Fields) -> Backend:
-        found = self.world.backends.get(fields.text("server"))
+        found = self.world.backends.get(fields.text(names.BACKEND))
         if found is None:
-            raise _Unfit("server is not known")
+            raise _Unfit("the backend is not known")
         return found
 
     def _slice(self, fields: Fields) -> Slice:
-        return self.world.slice(fields.whole("slice", self.site.slices - 1))
+        return self.world.slice(fields.whole(names.SLICE, self.site.slices - 1))
 
     def _proxy(self, fields: Fields) -> Proxy:
-        return self.world.proxy(fields.whole("proxy", self.site.proxies - 1))
+        return self.world.proxy(fields.whole(names.PROXY, self.site.proxies - 1))
 
     def _tries(self, f: Fields) -> Event:
-        total, failed = f.whole("tries"), f.whole("failed")
+        total, failed = f.whole(names.TOTAL), f.whole(names.ABORTED)
         if failed > total:
-            raise _Unfit("failed is out of range")
-        took = f.number("mean_ms", _REQUIRED if total > failed else 0.0)
-        return TriesReport(f.place("zone", self.site.zones), self._backend(f), total, failed, took,
-                           f.number("span_ms"), f.load(self.site.load_fields))
+            raise _Unfit("more aborted than tried")
+        took = f.number(names.TOOK, _REQUIRED if total > failed else 0.0)
+        return TriesReport(f.place(names.ZONE, self.site.zones), self._backend(f), total, failed, took,
+                           f.number(names.SPAN), f.load(self.site.load_fields))
 
     def _heat(self, f: Fields) -> Event:
-        return SliceHeat(self._slice(f), f.place("class", self.site.methods), f.whole("tries"),
-                         f.whole("failed"), f.number("span_ms"))
+        return SliceHeat(self._slice(f), f.place(names.METHOD, self.site.methods), f.whole(names.TOTAL),
+                         f.whole(names.ABORTED), f.number(names.SPAN))
 
     def _proxy_load(self, f: Fields) -> Event:
         proxy = self._proxy(f)
         if proxy not in self.world.joined:
-            raise _Unfit("proxy has not joined")
-        return ProxyLoad(proxy, f.place("class", self.site.methods), f.whole("tries"),
-                         f.whole("failed"), f.number("span_ms"))
+            raise _Unfit("the proxy has not joined")
+        return ProxyLoad(proxy, f.place(names.METHOD, self.site.methods), f.whole(names.TOTAL),
+                         f.whole(names.ABORTED), f.number(names.SPAN))
 
     def _joined(self, f: Fields) -> Event:
-        number, zone = f.whole("proxy", self.site.proxies - 1), f.place("zone", self.site.zones)
-        size, fresh, proxy = f.number("weight", 0.0), f.flag("fresh"), self.world.proxy(number)
+        number, zone = f.whole(names.PROXY, self.site.proxies - 1), f.place(names.ZONE, self.site.zones)
+        size, fresh, proxy = f.number(names.SIZE, 0.0), f.flag(names.FRESH), self.world.proxy(number)
         proxy.size, proxy.zone = size, zone
         return ProxyJoined(proxy, fresh)
 
@@ -204,35 +206,35 @@
         return ProxyLeft(self._proxy(f))
 
     def _confirmed(self, f: Fields) -> Event:
-        return SealConfirmed(self._proxy(f), f.whole("mark"), f.number("took_ms", 0.0))
+        return SealConfirmed(self._proxy(f), f.whole(names.SEAL_HEARD), f.number(names.SEAL_TOOK, 0.0))
 
     def _leased(self, f: Fields) -> Event:
-        return Leased(self._slice(f), f.flag("on"))
+        return Leased(self._slice(f), f.flag(names.GIVEN))
 
     def _line(self, f: Fields) -> Event:
-        backend = self.world.backend(f.text("server"))
+        backend = self.world.backend(f.text(names.BACKEND))
         if backend is None:
-            raise _Unfit("server is one too many")
-        return StoredLine(self._slice(f), backend, f.number("weight"))
+            raise _Unfit("one backend too many")
+        return StoredLine(self._slice(f), backend, f.number(names.SIZE))
 
     def _listing(self, f: Fields) -> Listing:
-        name, state = f.text("id"), f.text("state")
+        name, state = f.text(names.ID), f.text(names.PHASE)
         if state not in names.PHASES:
-            raise _Unfit("state is not known")
+            raise _Unfit("the state is not known")
         phase, known = names.PHASES[state], self.world.backends.get(name)
-        zone = f.place("zone", self.site.zones)
-        started, size = f.number("started_ms", 0.0, NUMBER_MOST), f.number("weight", 1.0)
+        zone = f.place(names.ZONE, self.site.zones)
+        started, size = f.number(names.STARTED, 0.0, NUMBER_MOST), f.number(names.SIZE, 1.0)
         try:
-            where = address(f.text("addr"))
+            where = address(f.text(names.ADDRESS))
         except ValueError:
-            raise _Unfit("addr is no address") from None
+            raise _Unfit("no address in figures") from None
         backend = known or self.world.backend(name)
         if backend is None:
-            raise _Unfit("id is one too many")
+            raise _Unfit("one backend too many")
         self.world.addresses[backend] = where
-        return Listing(backend, zone, int(f.number("cell", 0.0)), phase, started, size)
+        return Listing(backend, zone, int(f.number(names.CELL, 0.0)), phase, started, size)
 
     def _level(self, order: SetLevel) -> dict[str, Any]:
-        return {names.DO: names.LEVEL, "group": "*" if order.slice is None else order.slice.number,
-                "routes": [self.site.methods[place] for place in order.methods], "admit": order.level,
-                "policy": int(order.retry)}
+        methods = [self.site.methods[place] for place in order.methods]
+        return {names.DO: names.LEVEL, names.TABLE: names.ALL if order.slice is None else order.slice.number,
+                names.METHODS: methods, names.LET_IN: order.level, names.RETRY: int(order.retry)}
