--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -129,7 +129,8 @@
     def news(self, message: dict[str, Any], stands: bool) -> Union[Event, Skip]:
         """What the relay told; of what `stands`, a proxy may leave of which nothing was told before."""
         event = self._read(self._news, message.get(names.NEWS_KIND), message.get(names.NEWS_FIELDS))
-        if isinstance(event, (ProxyLeft, SealConfirmed)) and not stands and event.proxy not in self.world.joined:
+        of_joined = isinstance(event, (ProxyLeft, SealConfirmed)) and not stands
+        if of_joined and event.proxy not in self.world.joined:
             return Skip("the proxy has not joined")
         return event
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -348,7 +348,7 @@
     Those called are `call`, `news`, `list` and `probe` (`call.1` is a connection remembered apart), each with
 
         asked WORDS             waits for a request with these in it; `comes WORDS`: while the clock moves
-        unasked                 there is none
+        unasked                 there is none; `takes WORDS`: accepts calls until one has these words
         says STATUS JSON / opens / line JSON / raw TEXT     an answer, a stream, a chunk of it, escaped bytes
         breaks / closes / stops / restarts                  a reset, an end; listening, ends or begins
 
@@ -368,6 +368,7 @@
         self.program: Optional[asyncio.subprocess.Process] = None
         self.address: tuple[str, int] = ("", 0)
         self.files: list[str] = []
+        self.body = b""
 
     def run(self, text: str) -> None:
         asyncio.run(asyncio.wait_for(self._play(text), 10 * PATIENCE))
@@ -383,7 +384,7 @@
         try:
             for number, raw in enumerate(text.splitlines(), 1):
                 text = raw.split("#")[0].replace("$backend", "%s:%d" % self.backend.where).replace(
-                    "$deaf", "%s:%d" % deaf.getsockname())
+                    "$deaf", "%s:%d" % deaf.getsockname()).replace("$listen", "%s:%d" % self.address)
                 for words in (one.strip().split(" ") for one in text.split(" ; ") if one.strip()):
                     try:
                         await self._do(words[0], words[1:])
@@ -573,6 +574,7 @@
         found = first()
         peer.asked.remove(found)
         peer.current[name] = found[1]
+        self.body = found[0].partition(b"\r\n\r\n")[2]
         for word in words:
             assert word.encode() in found[0], f"it asked {found[0]}"
 
@@ -595,6 +597,15 @@
         self.parties[party].current[name].write(head.encode() + body)
         await self._settle()
 
+    async def peer_takes(self, party: str, name: str, *words: str) -> None:
+        """Takes all orders, call by call, until one call has these words."""
+        while True:
+            await self.peer_asked(party, name)
+            body = json.loads(self.body)
+            await self.peer_says(party, name, "200", '{"accepted":%d}' % len(body["orders"]))
+            if all(word.encode() in self.body for word in words):
+                return
+
     async def peer_raw(self, party: str, name: str, *words: str) -> None:
         self.parties[party].current[name].write(unescape(words))
         await self._settle()
