--- a/tests/play.py
+++ b/tests/play.py
@@ -348,7 +348,8 @@
     Those called are `call`, `news`, `list` and `probe` (`call.1` is a connection remembered apart), each with
 
         asked WORDS             waits for a request with these in it; `comes WORDS`: while the clock moves
-        unasked                 there is none; `takes WORDS`: accepts calls until one has these words
+        unasked                 there is none; `takes WORDS`: accepts calls until one has these;
+                                `lacks WORDS`: the last one had not
         says STATUS JSON / opens / line JSON / raw TEXT     an answer, a stream, a chunk of it, escaped bytes
         breaks / closes / stops / restarts                  a reset, an end; listening, ends or begins
 
@@ -606,6 +607,9 @@
             if all(word.encode() in self.body for word in words):
                 return
 
+    async def peer_lacks(self, party: str, name: str, *words: str) -> None:
+        assert not any(word.encode() in self.body for word in words), f"it asked {self.body!r}"
+
     async def peer_raw(self, party: str, name: str, *words: str) -> None:
         self.parties[party].current[name].write(unescape(words))
         await self._settle()
