A weight told as 0 is a trace, not a missing line; a stand's rounding is no change

Checked by a second probe that wrote both sides: held 1e-06 or 5.3e-05, told 0.0; the relay tells weights to three places, and the module gives spares a thousandth of a main line that may itself be a thousandth. At fault: memory/stand.py (tolerance without a floor) and door.py, which passed 0 on, so that the module took the line for missing, set the slice's levels back and ordered level and line again. Ruled out: orders under way (touched was False), lines of others.

--- a/lifthinge/memory/stand.py
+++ b/lifthinge/memory/stand.py
@@ -3,7 +3,7 @@
 from lifthinge.memory.calls import Calls
 from lifthinge.memory.world import World
 
-WEIGHT_NEAR = 1e-4      # of a weight: the store may keep fewer digits
+WEIGHT_NEAR = 1e-4, 0.001   # of a weight, and beyond: weights are told to three places
 
 
 class Stand:
@@ -43,4 +43,4 @@
 
 def _same(held: dict[Backend, float], stored: dict[Backend, float]) -> bool:
     return held.keys() == stored.keys() and all(
-        abs(held[b] - weight) <= WEIGHT_NEAR * max(weight, held[b]) for b, weight in stored.items())
+        abs(held[b] - weight) <= WEIGHT_NEAR[0] * weight + WEIGHT_NEAR[1] for b, weight in stored.items())
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -12,6 +12,7 @@
 
 COUNT_MOST = float(1 << 32)
 NUMBER_MOST = 1e15
+WEIGHT_LEAST = 0.0005   # the most that a weight told as 0 can be
 _REQUIRED = object()
 
 
@@ -216,7 +217,8 @@
         backend = self.world.backend(f.text(names.BACKEND))
         if backend is None:
             raise _Unfit("one backend too many")
-        return StoredLine(self._slice(f), backend, f.number(names.SIZE))
+        # The relay tells weights to three places: a line that stands has one, though it is told as 0.
+        return StoredLine(self._slice(f), backend, max(f.number(names.SIZE), WEIGHT_LEAST))
 
     def _listing(self, f: Fields) -> Listing:
         name, state = f.text(names.ID), f.text(names.PHASE)
