--- a/lifthinge/terms.py
+++ b/lifthinge/terms.py
@@ -20,7 +20,6 @@
     slices: int
     proxies: int
     number: int             # this controller's, among those of its tier
-    controllers: int
     probes: bool
     peers: bool
     news_on_request: bool
@@ -73,6 +72,6 @@
     return SiteMap(
         zones=tuple(conf["Zones"]), methods=tuple(one["Name"] for one in conf["Services"]),
         load_fields=tuple(conf.get("Report", {}).get("Fields", ())), slices=int(special["Ranges"]),
-        proxies=int(special["DataPlaneSize"]), number=int(conf["SlotNo"]), controllers=int(conf["Balancers"]),
+        proxies=int(special["DataPlaneSize"]), number=int(conf["SlotNo"]),
         probes=bool(conf["Limits"].get("Probes", False)), peers=bool(conf["Limits"].get("MayTell", False)),
         news_on_request=conf["MembershipMode"] == "ask")
--- a/lifthinge/wire/probes.py
+++ b/lifthinge/wire/probes.py
@@ -26,7 +26,9 @@
     def probe(self, backend: Backend) -> None:
         if backend in self._running.values():
             self.books.counters.add("probe.doubled")
-        elif backend not in self.world.addresses or len(self._running) >= PROBES_MOST:
+        elif not self.door.site.probes or backend not in self.world.addresses:
+            self.books.counters.add("probe.not_to_be_had")
+        elif len(self._running) >= PROBES_MOST:
             self.books.counters.add("probe.no_room")
         else:
             task = asyncio.get_running_loop().create_task(self._one(backend))
--- a/lifthinge/wirehost/translate.py
+++ b/lifthinge/wirehost/translate.py
@@ -45,7 +45,13 @@
 
 
 class Door:
-    """Keeps the objects that stand for one instance's wire ids."""
+    """Keeps the objects that stand for one instance's wire ids.
+
+    >>> statuses = 10, 20, 30, 40, 50, 60, 99
+    >>> found = [Door(3).event("Sampled", (0.25, status, b"backnd", (0.5,))) for status in statuses]
+    >>> [one.outcome.value for one in found], found[0].took, found[0].load
+    (['ok', 'aborted', 'pushed_back', 'late', 'unreachable', 'broken', 'aborted'], 250.0, (0.5,))
+    """
 
     def __init__(self, instance: int) -> None:
         self.instance = instance
