No dead code; a watch that does not wait is not asked again at once

A last read of the network code with a search for what nothing uses: a field reader, an iterator and three parameters went.

--- a/lifthinge/memory/books.py
+++ b/lifthinge/memory/books.py
@@ -12,7 +12,6 @@
 @dataclass(eq=False, slots=True)
 class Request:
     """A request that waits for its answer, as its connection's owner sees it."""
-    kind: str
     asked_at: float
     future: asyncio.Future
     deadline: Deadline
--- a/lifthinge/memory/slots.py
+++ b/lifthinge/memory/slots.py
@@ -7,10 +7,10 @@
 >>> slots.free(a), slots.get(a), slots.free(a)
 ('a', None, None)
 >>> c = slots.put("c")
->>> c & 0xFFFF == a & 0xFFFF, c == a, slots.get(a), list(slots)
-(True, False, None, ['c', 'b'])
+>>> c & 0xFFFF == a & 0xFFFF, c == a, slots.get(a), slots.get(c), slots.get(b)
+(True, False, None, 'c', 'b')
 """
-from typing import Generic, Iterator, Optional, TypeVar
+from typing import Generic, Optional, TypeVar
 
 T = TypeVar("T")
 _BITS = 16
@@ -55,6 +55,3 @@
 
     def __len__(self) -> int:
         return len(self._items) - len(self._free)
-
-    def __iter__(self) -> Iterator[T]:
-        return iter([item for item in self._items if item is not None])
--- a/lifthinge/service/run.py
+++ b/lifthinge/service/run.py
@@ -53,7 +53,8 @@
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", counters(books)))
     try:
         await controller.start()
-        log.info("started", {"name": place.name, "listen": place.listen, "pid": os.getpid()})
+        where = "%s:%d" % controller.reception.where
+        log.info("started", {"name": place.name, "listen": where, "pid": os.getpid()})
         await over.wait()
     finally:
         controller.stop()
--- a/lifthinge/wire/client.py
+++ b/lifthinge/wire/client.py
@@ -39,10 +39,10 @@
 class HttpConnection(Connection):
     """Carries one request at a time."""
 
-    def __init__(self, books: Books, kind: str, body_most: int = BODY_MOST) -> None:
-        super().__init__(books, body_most + HEAD_MOST)
-        self.kind, self.body_most = kind, body_most
-        self.parser = AnswerParser(self.buffer, body_most)
+    def __init__(self, books: Books, kind: str) -> None:
+        super().__init__(books, BODY_MOST + HEAD_MOST)
+        self.kind = kind
+        self.parser = AnswerParser(self.buffer)
         self._request: Optional[int] = None
         self.used_at = books.now
 
@@ -50,10 +50,10 @@
         """Sends a request; the future brings its answer or how it failed, and never an exception."""
         future: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
         deadline = self.books.deadlines.set(wait, lambda: self.fail(Cause.LATE))
-        self._request = self.books.requests.put(Request(self.kind, self.books.now, future, deadline))
+        self._request = self.books.requests.put(Request(self.books.now, future, deadline))
         self.books.counters.add(f"{self.kind}.asked")
         self.books.counters.most("requests.most", len(self.books.requests))
-        self.parser = AnswerParser(self.buffer, self.body_most)
+        self.parser = AnswerParser(self.buffer)
         if self._request is None:
             deadline.cancel()
             future.set_result(Failure(Reach.NOT_SENT, Cause.NO_ROOM))
@@ -114,6 +114,7 @@
             self.books.counters.add(f"{self.kind}.failed.{result.reach.value}.{result.cause.value}")
         else:
             self.books.counters.add(f"{self.kind}.answered.{result.status}")
+            self.books.counters.most(f"{self.kind}.longest_ms", round(self.used_at - request.asked_at, 1))
         if not request.future.done():
             request.future.set_result(result)
 
@@ -121,13 +122,13 @@
 class Caller:
     """Calls to one address, one at a time."""
 
-    def __init__(self, books: Books, kind: str, where: tuple[str, int], fresh: float = FRESH) -> None:
-        self.books, self.kind, self.where, self.fresh = books, kind, where, fresh
+    def __init__(self, books: Books, kind: str, where: tuple[str, int]) -> None:
+        self.books, self.kind, self.where = books, kind, where
         self._kept: Optional[HttpConnection] = None
 
     async def call(self, data: bytes, wait: float) -> Result:
         connection = self._kept
-        if connection is None or connection.lost or self.books.now - connection.used_at > self.fresh:
+        if connection is None or connection.lost or self.books.now - connection.used_at > FRESH:
             self.close()
             found = await connect(self.books, lambda: HttpConnection(self.books, self.kind), self.where)
             if isinstance(found, Failure):
--- a/lifthinge/wire/connection.py
+++ b/lifthinge/wire/connection.py
@@ -97,12 +97,11 @@
 C = TypeVar("C", bound=Connection)
 
 
-async def connect(books: Books, make: Callable[[], C], where: tuple[str, int],
-                  wait: float = CONNECT_WAIT) -> Union[C, Failure]:
+async def connect(books: Books, make: Callable[[], C], where: tuple[str, int]) -> Union[C, Failure]:
     """A connection that is up, or why there is none."""
     loop = asyncio.get_running_loop()
     task = loop.create_task(loop.create_connection(make, *where))
-    deadline = books.deadlines.set(wait, task.cancel)
+    deadline = books.deadlines.set(CONNECT_WAIT, task.cancel)
     try:
         _, connection = await task
     except asyncio.CancelledError:
--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -35,8 +35,11 @@
         """Watches for good: for sites that push, or once a subscription has been asked for."""
         failures, since = 0, False
         while True:
+            began, version = self.books.now, self.world.version
             failure = await self._call(self._watch, since)
             if failure is None:
+                if since and version == self.world.version and self.books.now - began < RETRY_MOST:
+                    await self.books.pause(RETRY_LEAST)     # it did not wait: no reason to spin
                 failures, since = 0, True
                 continue
             failures += 1
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -30,7 +30,7 @@
         ...
     ValueError: 'localhost' does not appear to be an IPv4 or IPv6 address
     """
-    host, colon, port = str(text).rpartition(":")
+    host, _, port = str(text).rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     ipaddress.ip_address(host)
     if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
@@ -81,9 +81,6 @@
             raise _Unfit(f"{name} is not known")
         return known.index(found)
 
-    def within(self, name: str) -> "Fields":
-        return Fields(self._message.get(name))
-
     def load(self, wanted: tuple[str, ...]) -> tuple[float, ...]:
         """Values by name; a report that lacks one counts as absent."""
         found = self._message.get(names.LOAD)
--- a/lifthinge/wire/http.py
+++ b/lifthinge/wire/http.py
@@ -78,8 +78,8 @@
 class AnswerParser:
     """One answer's progress; trouble is a text that says what is wrong."""
 
-    def __init__(self, buffer: Buffer, body_most: int = BODY_MOST) -> None:
-        self.buffer, self.body_most = buffer, body_most
+    def __init__(self, buffer: Buffer) -> None:
+        self.buffer = buffer
         self.state, self.status, self.keep = State.HEAD, 0, True
         self.body = 0           # decoded bytes at the front of the buffer
         self._left = 0          # bytes of the body, or of the chunk, still to come
@@ -193,7 +193,7 @@
             return "bad length"
         self._left = int(length[:12])
         self.state = State.COUNTED if self._left else State.DONE
-        return "body too long" if self._left > self.body_most else None
+        return "body too long" if self._left > BODY_MOST else None
 
     def _read_size(self, line: bytes) -> Optional[str]:
         found = _CHUNK.fullmatch(line)
@@ -201,13 +201,13 @@
             return "bad chunk size"
         self._left = int(found[1], 16)
         self.state = State.CHUNK if self._left else State.TRAILER
-        return "body too long" if self.body + self._left > self.body_most else None
+        return "body too long" if self.body + self._left > BODY_MOST else None
 
     def _read_body(self) -> Optional[str]:
         here = len(self.buffer) - self.body
         if self.state is State.TO_CLOSE:
             self.body += here
-            return "body too long" if self.body > self.body_most else None
+            return "body too long" if self.body > BODY_MOST else None
         took = min(here, self._left)
         self.body += took
         self._left -= took
