A slice given anew counts as taken until its lines have come

Found by reading: while its lines were awaited, for 30 ms, the module could order for it on the lines of the old lease, and then hear lines that no longer stood. The scenario slice_taken fails without the change.

--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -143,6 +143,8 @@
     def _pass(self, event: Event) -> None:
         """Hands an event on; a slice just given waits for its lines, or it would pass for a bare one."""
         if isinstance(event, Leased) and event.given:
+            if event.slice in self.world.held:      # nothing may be ordered for it on its old lines meanwhile
+                self.tell([Leased(event.slice, False)])
             self._given[event.slice] = [event]
         elif isinstance(event, StoredLine) and event.slice in self._given:
             self._given[event.slice].append(event)
