SIGHUP moves discovery and relay make-before-break; strangers are rejected at once

Now: SIGHUP is caught before the program's own modules are read. Discovery goes on by a second line of watches until the new address has told its list; a list older than the one held is believed if told twice. News opens beside the old stream; a renewal does the same. The relay's next call goes to the new address, or to the connection still up while that is out of reach.

--- a/lifthinge/memory/attempts.py
+++ b/lifthinge/memory/attempts.py
@@ -18,6 +18,8 @@
     BROKEN = "broken"
     UNREADABLE = "unreadable"
     NO_ROOM = "no_room"
+    MOVED = "moved"         # the partner is to be found elsewhere
+    RENEWED = "renewed"     # asked for anew
 
 
 @dataclass(frozen=True, slots=True)
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -1,6 +1,7 @@
 """The controller: gathers the events of a loop turn, lets the module decide once, hands the orders on."""
 import asyncio
 import logging
+from dataclasses import replace
 from typing import Any, Awaitable, Callable, Coroutine, Iterable, Optional, Protocol
 
 from lifthinge.interface import (
@@ -9,7 +10,7 @@
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls
 from lifthinge.memory.world import World
-from lifthinge.service.environment import BadStart, Place
+from lifthinge.service.environment import BadStart, Place, unfollowed
 from lifthinge.wire.collectors import Reception
 from lifthinge.wire.discovery import Discovery
 from lifthinge.wire.door import Door
@@ -21,6 +22,13 @@
 log = logging.getLogger(__name__)
 WORK_REST = 250.0           # ms until a line of work that failed goes on
 DISCOVERY_WAIT = 1_000.0    # ms after the start, until the list last held must do
+INBOUND_PART = 0.5          # of the stated sockets
+INBOUND_PER_MB = 4          # of the stated memory: a stranger takes some 10 KiB
+
+
+def _inbound(place: Place) -> int:
+    """How many connections may have come in: bounded by the stated sockets, and by the memory."""
+    return int(min(place.sockets * INBOUND_PART, place.memory_mb * INBOUND_PER_MB))
 
 
 class Decider(Protocol):
@@ -36,7 +44,7 @@
     def __init__(self, place: Place, books: Books, choice: Decider) -> None:
         self.place, self.books, self.choice, self.world, self.calls = place, books, choice, World(), Calls()
         self.door = Door(place.site, self.world)
-        self.reception = Reception(books, self.door, place.sockets // 4, lambda: self.ready, self.tell)
+        self.reception = Reception(books, self.door, _inbound(place), lambda: self.ready, self.tell)
         self.relay = Relay(books, self.door, self.calls, place.relay, lambda: self.tell([]), self._refused)
         self.news = News(books, self.door, self.world, self.calls, place.relay, self._tell_news)
         self.discovery = Discovery(books, self.door, self.world, place.discovery,
@@ -48,7 +56,7 @@
         self._late = False      # discovery need not be waited for any longer
         self._turn_due = False
         self._events: list[Event] = []
-        self._tasks: dict[str, asyncio.Task] = {}
+        self._tasks: dict[asyncio.Task, str] = {}
         self._carry: dict[type, Callable[[Any], None]] = {
             Wake: lambda o: self.books.deadlines.set(o.delay, lambda: self.tell([TimerDue(o.handle)])),
             Probe: lambda o: self.probes.probe(o.backend),
@@ -71,6 +79,21 @@
             self._follow(True)
         self.books.deadlines.set(DISCOVERY_WAIT, self._wait_no_more)
 
+    def reload(self, new: Place) -> None:
+        """Goes on by a new configuration: what has moved is met at its new address before the old is left."""
+        former, self.place = self.place, replace(self.place, discovery=new.discovery, relay=new.relay)
+        if new.relay != former.relay:
+            self.relay.move(new.relay)
+            self.news.move(new.relay)
+        if new.discovery != former.discovery:
+            self.discovery.move(new.discovery)
+            if "follow" in self._tasks.values():
+                self._run("follow", self.discovery.follow, beside=True)
+        self.books.counters.add("reloads")
+        log.info("reloaded", {"discovery": "%s:%d" % new.discovery, "relay": "%s:%d" % new.relay,
+                              "moved": (new.relay != former.relay) + (new.discovery != former.discovery),
+                              "needs_restart": ",".join(unfollowed(former, new)) or "nothing"})
+
     @staticmethod
     async def _bind(key: str, opened: Awaitable[None]) -> None:
         try:
@@ -81,7 +104,7 @@
     def stop(self) -> None:
         """Takes nothing more, and ends every connection."""
         self.reception.close()
-        for task in self._tasks.values():
+        for task in self._tasks:
             task.cancel()
         self.relay.close()
         self.news.close()
@@ -161,14 +184,20 @@
     def _follow(self, on: bool) -> None:
         if on:
             self._run("follow", self.discovery.follow)
-        elif "follow" in self._tasks:
-            self._tasks["follow"].cancel()
-
-    def _run(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Runs one line of work; another under the same name gives way to it."""
-        if name in self._tasks:
-            self._tasks[name].cancel()
-        self._tasks[name] = asyncio.get_running_loop().create_task(self._guard(name, work))
+        else:
+            self._end("follow")
+
+    def _end(self, name: str) -> None:
+        for task in [task for task, other in self._tasks.items() if other == name]:
+            task.cancel()
+
+    def _run(self, name: str, work: Callable[[], Coroutine[Any, Any, None]], beside: bool = False) -> None:
+        """Runs one line of work; another under the same name gives way to it, if they don't go on beside."""
+        if not beside:
+            self._end(name)
+        task = asyncio.get_running_loop().create_task(self._guard(name, work))
+        self._tasks[task] = name
+        task.add_done_callback(self._tasks.pop)
 
     async def _guard(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """No fault ends a line of work for good."""
--- a/lifthinge/service/environment.py
+++ b/lifthinge/service/environment.py
@@ -1,13 +1,16 @@
 """What the environment and the configuration tell a controller of where it stands."""
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any, Mapping, Optional
 
 from lifthinge.interface import SiteTerms
 from lifthinge.terms import BadTerms, SiteMap, read_map, read_terms
 from lifthinge.wire.door import address
 
-SOCKETS_LEAST = 64
+SOCKETS_LEAST, MEMORY_LEAST = 64, 24
+MEMORY_USUAL = 192      # MB, where the configuration says nothing
+FOLLOWED = {"discovery", "relay"}   # what a new configuration may move
+OF_A_START = {"known", "seed"}      # what means nothing to a program that runs
 Address = tuple[str, int]
 
 
@@ -31,13 +34,15 @@
     peers_all: Optional[Address]
     seed: int
     sockets: int
+    memory_mb: float
     known: dict[str, Any]
     terms: SiteTerms
     site: SiteMap
 
 
-def read_place(environment: Mapping[str, str]) -> Place:
-    """
+def read_place(environment: Mapping[str, str], anew: bool = False) -> Place:
+    """What the program starts with; read anew, the configuration names discovery, too.
+
     >>> read_place({"ROUTER_NAME": "n3"})
     Traceback (most recent call last):
         ...
@@ -47,7 +52,6 @@
         if not environment.get(key):
             raise BadStart(key, "missing")
     listen = _address("ROUTER_LISTEN", environment["ROUTER_LISTEN"])
-    discovery = _address("ROUTER_DISCOVERY", environment["ROUTER_DISCOVERY"])
     try:
         with open(environment["ROUTER_CONFIG"], encoding="utf-8") as file:
             conf = json.load(file)
@@ -57,6 +61,9 @@
         raise BadStart("ROUTER_CONFIG", f"not JSON: {error}") from None
     if not isinstance(conf, dict):
         raise BadStart("ROUTER_CONFIG", "not an object")
+    discovery = _address("discovery", conf.get("discovery")) if anew else _address(
+        "ROUTER_DISCOVERY", environment["ROUTER_DISCOVERY"])
+    limits = _part(conf, "limits")
     try:
         terms, site = read_terms(conf.get("settings")), read_map(conf.get("settings"))
     except BadTerms as error:
@@ -70,7 +77,7 @@
         peer_listen=_address("peer_listen", conf.get("peer_listen")) if site.peers else None,
         peers=tuple(_address("peers", one) for one in peers),
         peers_all=_address("peers_all", conf["peers_all"]) if site.peers and conf.get("peers_all") else None,
-        seed=_seed(conf.get("seed")), sockets=_sockets(_part(conf, "limits").get("sockets")),
+        seed=_seed(conf.get("seed")), sockets=_sockets(limits.get("sockets")), memory_mb=_memory(limits.get("memory_mb", MEMORY_USUAL)),
         known=_part(conf, "known"), terms=terms, site=site)
 
 
@@ -101,3 +108,15 @@
     if type(count) is not int or count < SOCKETS_LEAST:
         raise BadStart("limits.sockets", f"not a number of at least {SOCKETS_LEAST}")
     return count
+
+
+def _memory(megabytes: Any) -> float:
+    if type(megabytes) not in (int, float) or not MEMORY_LEAST <= megabytes < float("inf"):
+        raise BadStart("limits.memory_mb", f"not a number of at least {MEMORY_LEAST}")
+    return float(megabytes)
+
+
+def unfollowed(former: Place, new: Place) -> list[str]:
+    """What a new configuration says otherwise that only a start takes up."""
+    return [one.name for one in fields(Place) if one.name not in FOLLOWED | OF_A_START
+            and getattr(former, one.name) != getattr(new, one.name)]
--- a/lifthinge/service/run.py
+++ b/lifthinge/service/run.py
@@ -32,7 +32,7 @@
     loop, now, counters = asyncio.get_running_loop(), unix_clock(), Counters()
     deadlines = Deadlines(now, lambda delay, run: loop.call_later(delay / MS, run))
     return Books(deadlines, counters, Notices(logging.getLogger("lifthinge"), counters, now),
-                 Slots(sockets // 2), Slots(sockets // 2), Random(seed))
+                 Slots(sockets * 3 // 4), Slots(sockets // 2), Random(seed))
 
 
 def counters(books: Books) -> dict[str, float]:
@@ -43,16 +43,27 @@
             "connections": len(books.connections), "descriptors": len(os.listdir("/proc/self/fd"))}
 
 
-async def serve(place: Place) -> None:
-    """Serves until SIGTERM."""
+def reload(controller: Controller) -> None:
+    """Reads the configuration again; one that can't be used changes nothing."""
+    try:
+        controller.reload(read_place(os.environ, anew=True))
+    except BadStart as error:
+        controller.books.notices.note("reload_failed", key=error.key, why=error.why)
+
+
+async def serve(place: Place, hung_up: list[int]) -> None:
+    """Serves until SIGTERM; `hung_up` has the SIGHUPs that came before."""
     loop, over = asyncio.get_running_loop(), asyncio.Event()
     books = make_books(place.seed, place.sockets)
     controller = Controller(place, books, Choice(place.terms, place.seed))
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, over.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: reload(controller))
     loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", counters(books)))
     try:
         await controller.start()
+        if hung_up:
+            reload(controller)
         where = "%s:%d" % controller.reception.where
         log.info("started", {"name": place.name, "listen": where, "pid": os.getpid()})
         await over.wait()
@@ -61,10 +72,10 @@
     log.info("stopped", counters(books))
 
 
-def main() -> int:
+def main(hung_up: list[int]) -> int:
     logs.start()
     try:
-        asyncio.run(serve(read_place(os.environ)))
+        asyncio.run(serve(read_place(os.environ), hung_up))
     except BadStart as error:
         log.error("bad_start", {"key": error.key, "why": error.why})
         return BAD_START
--- a/lifthinge/terms.py
+++ b/lifthinge/terms.py
@@ -50,7 +50,7 @@
         return read(conf)
     except KeyError as error:
         raise BadTerms(f"settings lack the key {error}") from None
-    except (TypeError, AttributeError, IndexError, ValueError) as error:
+    except (TypeError, AttributeError, IndexError, ValueError, OverflowError) as error:
         raise BadTerms(f"settings have a value of the wrong kind: {error}") from None
 
 
--- a/lifthinge/wire/client.py
+++ b/lifthinge/wire/client.py
@@ -1,6 +1,6 @@
 """Calls over HTTP/1.1: one at a time on a connection that is kept while it is fresh."""
 import asyncio
-from typing import NamedTuple, Optional, Union
+from typing import Callable, NamedTuple, Optional, Union
 
 from lifthinge.memory.attempts import Cause, Failure, Reach
 from lifthinge.memory.books import Books, Request
@@ -18,18 +18,18 @@
 Result = Union[Answer, Failure]
 
 
-def get(path: str, where: tuple[str, int]) -> bytes:
+def get(path: str) -> Callable[[tuple[str, int]], bytes]:
     """
-    >>> get("/health", ("10.0.0.1", 80))
+    >>> get("/health")(("10.0.0.1", 80))
     b'GET /health HTTP/1.1\\r\\nHost: 10.0.0.1:80\\r\\n\\r\\n'
     """
-    return f"GET {path} HTTP/1.1\r\nHost: {_host(where)}\r\n\r\n".encode()
+    return lambda where: f"GET {path} HTTP/1.1\r\nHost: {_host(where)}\r\n\r\n".encode()
 
 
-def post(path: str, where: tuple[str, int], body: bytes) -> bytes:
-    head = (f"POST {path} HTTP/1.1\r\nHost: {_host(where)}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n")
-    return head.encode() + body
+def post(path: str, body: bytes) -> Callable[[tuple[str, int]], bytes]:
+    return lambda where: (f"POST {path} HTTP/1.1\r\nHost: {_host(where)}\r\n"
+                          f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+                          ).encode() + body
 
 
 def _host(where: tuple[str, int]) -> str:
@@ -120,23 +120,30 @@
 
 
 class Caller:
-    """Calls to one address, one at a time."""
+    """Calls to one address, one at a time; `where` may change between them, or while one is under way."""
 
     def __init__(self, books: Books, kind: str, where: tuple[str, int]) -> None:
         self.books, self.kind, self.where = books, kind, where
         self._kept: Optional[HttpConnection] = None
+        self._kept_where = where
 
-    async def call(self, data: bytes, wait: float) -> Result:
-        connection = self._kept
-        if connection is None or connection.lost or self.books.now - connection.used_at > FRESH:
+    async def call(self, request: Callable[[tuple[str, int]], bytes], wait: float) -> Result:
+        """Asks what `request` makes for the address: that of now, or the former one while only that is up."""
+        kept, where = self._kept, self.where
+        if kept is not None and (kept.lost or self.books.now - kept.used_at > FRESH):
+            kept = None
             self.close()
-            found = await connect(self.books, lambda: HttpConnection(self.books, self.kind), self.where)
-            if isinstance(found, Failure):
+        if kept is None or self._kept_where != where:
+            found = await connect(self.books, lambda: HttpConnection(self.books, self.kind), where)
+            if not isinstance(found, Failure):
+                self.close()
+                kept = self._kept = found
+                self._kept_where = where
+            elif kept is None or kept.lost:
                 self.books.counters.add(f"{self.kind}.failed.{found.reach.value}.{found.cause.value}")
                 return found
-            connection = self._kept = found
         try:
-            return await connection.ask(data, wait)
+            return await kept.ask(request(self._kept_where), wait)
         except asyncio.CancelledError:      # called off: the answer, if it comes, is nobody's
             self.close()
             raise
--- a/lifthinge/wire/connection.py
+++ b/lifthinge/wire/connection.py
@@ -16,8 +16,8 @@
     """Subclasses say what is done with what has come, at the peer's end, and when all is lost."""
     kind = "connection"
 
-    def __init__(self, books: Books, limit: int) -> None:
-        self.books, self.buffer = books, Buffer(limit)
+    def __init__(self, books: Books, limit: int, first: int = 4096) -> None:
+        self.books, self.buffer = books, Buffer(limit, first)
         self.transport: Optional[asyncio.Transport] = None
         self.handle: Optional[int] = None
         self.unsent = False     # bytes of ours have not left
--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -15,39 +15,62 @@
 WATCH_WAIT = 4_000      # ms that a watch asks discovery to wait: a silent one is found out soon after
 ANSWER_WAIT = 700.0     # beyond that
 RETRY_LEAST, RETRY_MOST = 30.0, 150.0
+OLDER = "older than the list held"
 
 
 class Discovery:
-    """`tell` takes the fleet news. On a site that tells only when asked, nothing is asked unbidden."""
+    """`tell` takes the fleet news. On a site that tells only when asked, nothing is asked unbidden.
+
+    After a move the former watch goes on beside the new address's, until that has told its list.
+    """
 
     def __init__(self, books: Books, door: Door, world: World, where: tuple[str, int],
                  tell: Callable[[FleetNews], None]) -> None:
         self.books, self.door, self.world, self.where, self.tell = books, door, world, where, tell
         self.answered = False           # ever
-        self._watch = Caller(books, "discovery_watch", where)
+        self._watches: list[Caller] = []    # each of a line of watches, the newest last
         self._list = Caller(books, "discovery_list", where)
+        self._older = range(0)          # versions below the one held that are believed of a list
 
     def close(self) -> None:
-        self._watch.close()
+        self._end_before(None)
         self._list.close()
 
+    def move(self, where: tuple[str, int]) -> None:
+        """What is asked from now on is asked there; a new line of watches is the caller's to start."""
+        self.where = self._list.where = where
+
     async def follow(self) -> None:
         """Watches for good: for sites that push, or once a subscription has been asked for."""
-        failures, since = 0, False
-        while True:
-            began, version = self.books.now, self.world.version
-            failure = await self._call(self._watch, since)
-            if failure is None:
-                if since and version == self.world.version and self.books.now - began < RETRY_MOST:
-                    await self.books.pause(RETRY_LEAST)     # it did not wait: no reason to spin
-                failures, since = 0, True
-                continue
-            failures += 1
-            if self.door.site.news_on_request:
-                self.tell(FleetNews(Form.MISSED, []))
-                return
-            if failures > 1:
-                await self.books.pause(RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
+        watch, failures, since = Caller(self.books, "discovery_watch", self.where), 0, False
+        self._watches.append(watch)
+        try:
+            while watch in self._watches:
+                began, version = self.books.now, self.world.version
+                failure = await self._call(watch, since)
+                if failure is None:
+                    self._end_before(watch)
+                    if since and version == self.world.version and self.books.now - began < RETRY_MOST:
+                        await self.books.pause(RETRY_LEAST)     # it did not wait: no reason to spin
+                    failures, since = 0, True
+                    continue
+                failures, since = failures + 1, since and failure.detail != OLDER
+                if watch not in self._watches[-1:]:     # there is a newer address
+                    return
+                if self.door.site.news_on_request:
+                    self.tell(FleetNews(Form.MISSED, []))
+                    return
+                if failures > 1:
+                    await self.books.pause(
+                        RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
+        finally:
+            watch.close()
+            self._watches = [one for one in self._watches if one is not watch]
+
+    def _end_before(self, watch: Optional[Caller]) -> None:
+        """A newer address has told its list: the watches at former ones are over."""
+        while self._watches and self._watches[0] is not watch:
+            self._watches.pop(0).close()
 
     async def fetch(self) -> None:
         """One call for the whole list."""
@@ -57,15 +80,16 @@
     async def _call(self, caller: Caller, since: bool) -> Optional[Failure]:
         path = names.LIST_PATH + (
             f"?{names.SINCE}={self.world.version}&{names.WAIT}={WATCH_WAIT}" if since else "")
-        result = await caller.call(get(path, self.where), ANSWER_WAIT + (WATCH_WAIT if since else 0))
+        result = await caller.call(get(path), ANSWER_WAIT + (WATCH_WAIT if since else 0))
         if not isinstance(result, Failure):
             message = read_object(result.body) if result.status == 200 else Skip(f"status {result.status}")
             trouble = message if isinstance(message, Skip) else self._take(message, not since)
             if trouble is None:
                 return None
             result = Failure(Reach.ANSWERED, Cause.UNREADABLE, trouble.why)
-        self.books.notices.note("discovery_failed", cause=result.cause.value, reach=result.reach.value,
-                                detail=result.detail)
+        if caller is self._list or caller in self._watches:     # and not one that was ended
+            self.books.notices.note("discovery_failed", cause=result.cause.value, reach=result.reach.value,
+                                    detail=result.detail)
         return result
 
     def known(self, message: dict) -> Optional[Skip]:
@@ -80,13 +104,19 @@
         return None
 
     def _take(self, message: dict, first: bool) -> Optional[Skip]:
-        """Takes a list or its changes; the first answer of a subscription is told though nothing changed."""
+        """Takes a list or its changes; the first answer of a subscription is told though nothing changed.
+
+        A list older than the one held may come from an agent that is behind, or that counts anew: it is
+        believed if asked for again it is no older, and not empty.
+        """
         found = self.door.version(message)
         if isinstance(found, Skip):
             return found
         version, whole, entries = found
-        if version < self.world.version:
-            return Skip(f"version {version} is older than {self.world.version}")
+        if version < self.world.version and not (whole and entries and version in self._older):
+            self._older = range(version, self.world.version) if first else self._older
+            return Skip(OLDER)
+        self._older = range(0)
         listings, named = self._read(entries)
         changed = [one for one in listings if self.world.listed.get(one.backend) != one
                    and (one.phase is not Phase.GONE or one.backend in self.world.listed)]
--- a/lifthinge/wire/frames.py
+++ b/lifthinge/wire/frames.py
@@ -11,7 +11,7 @@
 >>> all(feed(pack({"t": "hb", "n": 1})[:cut]) is None for cut in range(len(pack({"t": "hb", "n": 1}))))
 True
 >>> feed(b"\\0\\0\\0\\0"), feed(b"\\0\\x10\\0\\1"), feed(b"\\0\\0\\0\\2[]"), feed(b"\\0\\0\\0\\3{a}")
-(Lost(why='length 0'), Lost(why='length 1048577'), Skip(why='not an object'), Skip(why='not JSON'))
+(Lost(why='length 0'), Lost(why='length 1048577'), Skip(why='not an object'), Lost(why='not JSON'))
 """
 import json
 from typing import Any, NamedTuple, Union
@@ -22,7 +22,7 @@
 
 
 class Lost(NamedTuple):
-    """The framing is lost: nothing more can be read."""
+    """The framing is lost, or what it frames is no JSON: nothing more can be read."""
     why: str
 
 
@@ -31,6 +31,9 @@
     why: str
 
 
+NO_JSON = Skip("not JSON")
+
+
 def pack(message: dict[str, Any]) -> bytes:
     body = json.dumps(message, separators=(",", ":")).encode()
     return len(body).to_bytes(4, "big") + body
@@ -41,18 +44,19 @@
     try:
         found = json.loads(text)
     except (ValueError, RecursionError):
-        return Skip("not JSON")
+        return NO_JSON
     return found if isinstance(found, dict) else Skip("not an object")
 
 
 def read_frame(buffer: Buffer) -> Union[dict, Lost, Skip, None]:
-    """The next message; None until it has come whole."""
+    """The next message; None until it has come whole. One that the buffer will never hold is lost at once."""
     if len(buffer) < 4:
         return None
     length = int.from_bytes(buffer.peek(0, 4), "big")
-    if not 0 < length <= FRAME_MOST:
+    if not 0 < length <= buffer.limit - 4:
         return Lost(f"length {length}")
     if len(buffer) < 4 + length:
         return None
     buffer.take(4)
-    return read_object(buffer.take(length))
+    found = read_object(buffer.take(length))
+    return Lost(found.why) if found == NO_JSON else found
--- a/lifthinge/wire/names.py
+++ b/lifthinge/wire/names.py
@@ -3,7 +3,7 @@
 
 # Messages at the controller's address, and news from the relay
 KIND, NEWS_KIND, NEWS_FIELDS = "t", "type", "object"
-BEAT, BEAT_ANSWER, COLLECTOR = "hb", "hb_ok", "telemetry"
+BEAT, BEAT_ANSWER, COLLECTOR, REJECT = "hb", "hb_ok", "telemetry", "reject"
 TRIES, SLICE_HEAT, PROXY_LOAD = "upstream_stats", "range_stats", "client_stats"
 JOINED, LEFT, CONFIRMED, LEASED, LINE = "attach", "detach", "done", "owner", "entry"
 
--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -37,7 +37,7 @@
 
     def open(self, data: bytes) -> None:
         self._listen()
-        self.ask(data, NEVER).add_done_callback(lambda over: self._report(over.result()))
+        self.ask(data, NEVER).add_done_callback(lambda over: self.report(over.result()))
 
     def received(self) -> None:
         self._listen()
@@ -59,10 +59,10 @@
         self._silence = self.books.deadlines.set(SILENCE, self._silent)
 
     def _silent(self) -> None:
-        self._report(Failure(self.reach(), Cause.LATE, "silent"))
+        self.report(Failure(self.reach(), Cause.LATE, "silent"))
 
-    def _report(self, result: Result) -> None:
-        """A stream that ends as an answer does has broken off, too."""
+    def report(self, result: Result) -> None:
+        """Another stream is wanted; this one is heard on. One that ends as an answer does has broken off."""
         if not self.trouble.done():
             over = Failure(Reach.ANSWERED, Cause.BROKEN, "ended")
             self.trouble.set_result(result if isinstance(result, Failure) else over)
@@ -77,6 +77,7 @@
         self.tell = tell
         self.stood = False                          # ever heard what stands
         self._live: Optional[NewsConnection] = None     # the one that is listened to
+        self._latest: Optional[NewsConnection] = None   # the last one opened, until it gives way
         self._given: dict[object, list[Event]] = {}     # slices just given, with their lines so far
         self._given_over: Optional[Deadline] = None
 
@@ -87,28 +88,38 @@
             failure = await self._once()
             self.books.notices.note("news_ended", reach=failure.reach.value, cause=failure.cause.value,
                                     detail=failure.detail)
-            failures = failures + 1 if self.books.now - opened < SILENCE else 0
+            quick = self.books.now - opened < SILENCE and failure.cause is not Cause.MOVED
+            failures = failures + 1 if quick else 0
             if failures > 1:
                 await self.books.pause(RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
 
-    def renew(self) -> None:
-        """Has what stands told again."""
-        if self._live:
-            self._live.abort()
+    def renew(self, where: Optional[tuple[str, int]] = None, why: Cause = Cause.RENEWED) -> None:
+        """Has what stands told again, maybe elsewhere; the stream so far is heard until that is done."""
+        self.where = where or self.where
+        if self._latest:
+            self._latest.report(Failure(Reach.ANSWERED, why))
+
+    def move(self, where: tuple[str, int]) -> None:
+        self.renew(where, Cause.MOVED)
 
     def close(self) -> None:
         if self._live:
             self._live.abort()
 
     async def _once(self) -> Failure:
+        where = self.where
         connection = await connect(
-            self.books, lambda: NewsConnection(self.books, Stand(self.calls), self._take), self.where)
+            self.books, lambda: NewsConnection(self.books, Stand(self.calls), self._take), where)
         if isinstance(connection, Failure):
             return connection
+        self._latest = connection
         try:
-            connection.open(get(names.NEWS_PATH, self.where))
+            if where != self.where:
+                return Failure(Reach.NOT_SENT, Cause.MOVED)
+            connection.open(get(names.NEWS_PATH)(where))
             return await connection.trouble
         finally:
+            self._latest = None
             if connection is not self._live:
                 connection.abort()
 
--- a/lifthinge/wire/probes.py
+++ b/lifthinge/wire/probes.py
@@ -44,7 +44,7 @@
         caller = Caller(self.books, "probe", self.world.addresses[backend])
         path = names.LOAD_PATH if fields else names.HEALTH_PATH
         try:
-            result = await caller.call(get(path, caller.where), PROBE_WAIT)
+            result = await caller.call(get(path), PROBE_WAIT)
         finally:
             caller.close()
         load = read_load(read_text(result.body), fields) if isinstance(result, Answer) and fields else ()
@@ -57,7 +57,7 @@
     ['ok', 'pushed_back', 'aborted']
     >>> from lifthinge.memory.attempts import Reach
     >>> [outcome(Failure(Reach.NOT_SENT, cause)).value for cause in Cause]
-    ['unreachable', 'unreachable', 'late', 'broken', 'aborted', 'unreachable']
+    ['unreachable', 'unreachable', 'late', 'broken', 'aborted', 'unreachable', 'unreachable', 'unreachable']
     """
     if isinstance(result, Answer):
         return {200: Outcome.OK, 503: Outcome.PUSHED_BACK}.get(result.status, Outcome.ABORTED)
--- a/lifthinge/wire/relay.py
+++ b/lifthinge/wire/relay.py
@@ -44,6 +44,10 @@
                         for order in orders])
         self._given.set()
 
+    def move(self, where: tuple[str, int]) -> None:
+        """The next call goes there; one under way ends where it began, or its fate is unknown."""
+        self._caller.where = where
+
     def repeat(self, seal: int) -> None:
         """The call may go out again."""
         if self.unknown == seal:
@@ -63,7 +67,7 @@
             await self._given.wait()
             while call := self._front():
                 body = b'{"%s":[%s]}' % (names.ORDERS.encode(), b",".join(one.body for one in call))
-                result = await self._caller.call(post(names.CALL_PATH, self._caller.where, body), ANSWER_WAIT)
+                result = await self._caller.call(post(names.CALL_PATH, body), ANSWER_WAIT)
                 await self._settle(call, result)
             self._given.clear()
             self.changed()
--- a/tests/play.py
+++ b/tests/play.py
@@ -317,6 +317,7 @@
         self.server: asyncio.Server
         self.asked: list[tuple[bytes, asyncio.StreamWriter]] = []
         self.current: dict[str, asyncio.StreamWriter] = {}
+        self.over: list[asyncio.StreamWriter] = []
         self.opened = 0
 
     async def open(self, port: int = 0) -> None:
@@ -331,7 +332,7 @@
                 length = re.search(rb"Content-Length: (\d+)", head)
                 self.asked.append((head + await reader.readexactly(int(length[1]) if length else 0), writer))
         except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+            self.over.append(writer)
 
 
 class Network:
@@ -347,8 +348,10 @@
         told WORDS / untold     waits for an event; says that none is left
         way free|taken|SEAL     what the decisions hear of the channel
         pass MS                 moves the clock
+        reload [relay] [discovery] [away]   a new configuration, which names new addresses; away: out of reach
         counted NAME N          waits for a counter; `now_counted` doesn't
-        program KEY=VALUE ..    the whole program; it has `signal NAME`, `logs WORDS`, `exits CODE WORDS`
+        program KEY=VALUE ..    the whole program; it has `configure KEY=VALUE ..` (its file, anew), `signal NAME`,
+                                `logs WORDS`, `exits CODE WORDS`
         note N TEXT / noted TEXT / stray TEXT       datagrams from, to and beside peers
 
     Those called are `call`, `news`, `list` and `probe` (`call.1` is a connection remembered apart), each with
@@ -357,10 +360,10 @@
         unasked                 there is none; `takes WORDS`: accepts calls until one has these;
                                 `lacks WORDS`: the last one had not
         says STATUS JSON / opens / line JSON / raw TEXT     an answer, a stream, a chunk of it, escaped bytes
-        breaks / closes / stops / restarts                  a reset, an end; listening, ends or begins
+        breaks / closes / stops / restarts / ended          a reset, an end; listening, ends or begins; it was left
 
     and a connection that comes in is `in NAME` with `opens [N]`, `says JSON`, `bytewise JSON`, `raw TEXT`,
-    `floods N JSON` (without reading), `hears JSON`, `silent`, `closes` and `ended`.
+    `floods N JSON` (without reading), `hears JSON`, `silent`, `closes`, `ended` and `rejected`.
     """
 
     def __init__(self) -> None:
@@ -463,11 +466,23 @@
         site = read_map(self.site)
         peer_listen, peers = (own, (own, self.udp[0].getsockname())) if site.peers else (None, ())
         place = Place("n0", ("127.0.0.1", 0), self.discovery.where, self.relay.where, peer_listen, peers,
-                      None, 7, int(sockets), self.known, read_terms(self.site), site)
+                      None, 7, int(sockets), 192.0, self.known, read_terms(self.site), site)
         self.controller = Controller(place, books, self.script)
         await self.controller.start()
         self.address = self.controller.reception.where
 
+    async def do_reload(self, *what: str) -> None:
+        """The old addresses accept no new connection from now on."""
+        for name, peer in (("relay", self.relay), ("discovery", self.discovery)):
+            if name in what:
+                peer.server.close()
+                await peer.open()
+            if name in what and "away" in what:
+                peer.server.close()
+        self.controller.reload(replace(self.controller.place, relay=self.relay.where,
+                                       discovery=self.discovery.where))
+        await self._settle()
+
     async def do_pass(self, span: str) -> None:
         end = self.now + float(span)
         while self.now < end:       # in steps, as waits follow one another
@@ -535,23 +550,28 @@
         with socket.socket() as one:
             one.bind(("127.0.0.1", 0))
             self.address = one.getsockname()
-        conf = {"seed": "0f", "limits": {"sockets": 64}, "known": self.known, "settings": self.site,
-                "distributor": {"address": "%s:%d" % self.relay.where},
-                "peers": [], "peer_listen": "%s:%d" % self.address}
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             self.files.append(file.name)
-            environment = {"ROUTER_NAME": "n0", "ROUTER_LISTEN": "%s:%d" % self.address,
-                           "ROUTER_CONFIG": file.name, "ROUTER_DISCOVERY": "%s:%d" % self.discovery.where}
-            for key, value in (pair.split("=", 1) for pair in pairs if "=" in pair):
-                part, (*path, last) = environment if key.startswith("ROUTER") else conf, key.split(".")
-                for name in path:
-                    part = part[name]
-                part[last] = value if part is environment else json.loads(value) if value else None
-                if not value:
-                    del part[last]
-            file.write(pairs[0] if pairs and "=" not in pairs[0] else json.dumps(conf))
+        self.environment = {"ROUTER_NAME": "n0", "ROUTER_LISTEN": "%s:%d" % self.address,
+                            "ROUTER_CONFIG": file.name, "ROUTER_DISCOVERY": "%s:%d" % self.discovery.where}
+        await self.do_configure(*pairs)
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lifthinge", env=environment, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "lifthinge", env=self.environment, stderr=asyncio.subprocess.PIPE)
+
+    async def do_configure(self, *pairs: str) -> None:
+        """Writes its configuration; what is no pair is written as it stands."""
+        conf = {"seed": "0f", "limits": {"sockets": 64}, "known": self.known, "settings": self.site,
+                "distributor": {"address": "%s:%d" % self.relay.where}, "peers": [],
+                "peer_listen": "%s:%d" % self.address, "discovery": "%s:%d" % self.discovery.where}
+        for key, value in (pair.split("=", 1) for pair in pairs if "=" in pair):
+            part, (*path, last) = self.environment if key.startswith("ROUTER") else conf, key.split(".")
+            for name in path:
+                part = part[name]
+            part[last] = value if part is self.environment else json.loads(value) if value else None
+            if not value:
+                del part[last]
+        with open(self.files[-1], "w") as file:
+            file.write(pairs[0] if pairs and "=" not in pairs[0] else json.dumps(conf))
 
     async def do_logs(self, *words: str) -> None:
         """Waits for a log line that has these words."""
@@ -642,6 +662,10 @@
     async def peer_restarts(self, party: str, name: str) -> None:
         await self.parties[party].open(self.parties[party].where[1])
 
+    async def peer_ended(self, party: str, name: str) -> None:
+        peer = self.parties[party]
+        await self._until(lambda: peer.current[name] in peer.over, lambda: "it is up")
+
     async def peer_opened(self, party: str, name: str, count: str) -> None:
         await self._settle()
         assert self.parties[party].opened == int(count), f"it was {self.parties[party].opened}"
@@ -702,6 +726,10 @@
             except ConnectionError:
                 pass
 
+    async def in_rejected(self, name: str) -> None:
+        await self.in_hears(name, '{"t":"reject"}')
+        await self.in_ended(name)
+
     # Datagrams.
 
     async def do_note(self, number: str, *words: str) -> None:
