--- a/tests/play.py
+++ b/tests/play.py
@@ -410,9 +410,7 @@
                 one.close()
             for name in self.files:
                 os.unlink(name)
-            if self.program and self.program.returncode is None:
-                self.program.kill()
-                await self.program.wait()
+            await self._end_program()
 
     async def _do(self, word: str, rest: list[str]) -> None:
         party, _, suffix = word.partition(".")
@@ -546,7 +544,8 @@
     # The program as a whole, in a process of its own and in real time.
 
     async def do_program(self, *pairs: str) -> None:
-        """Starts it; `ROUTER_X=TEXT` or `key.key=JSON` changes what it is told, an empty one takes it out."""
+        """Starts it, in place of one before; `ROUTER_X=TEXT` or `key.key=JSON` changes what it is told, an empty one takes it out."""
+        await self._end_program()
         with socket.socket() as one:
             one.bind(("127.0.0.1", 0))
             self.address = one.getsockname()
@@ -558,6 +557,11 @@
         self.program = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lifthinge", env=self.environment, stderr=asyncio.subprocess.PIPE)
 
+    async def _end_program(self) -> None:
+        if self.program and self.program.returncode is None:
+            self.program.kill()
+            await self.program.wait()
+
     async def do_configure(self, *pairs: str) -> None:
         """Writes its configuration; what is no pair is written as it stands."""
         conf = {"seed": "0f", "limits": {"sockets": 64}, "known": self.known, "settings": self.site,
