Latency is of the tries of late; gone backends that nothing names are forgotten

At fault: _measure.

Gone backends: World and Choice kept every id ever met. Now a table that is written anew drops lines of who is gone, and who is named by no table is forgotten (order Forget); the world keeps only that it is withdrawn.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -11,22 +11,18 @@
 
 from lifthinge.channel import Channel
 from lifthinge.interface import (
-    Backend, BindProxy, ChannelState, Event, FleetNews, FollowList, Form, Leased, Order, Phase, Proxy,
-    ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
-    SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
+    Backend, BindProxy, ChannelState, Event, FleetNews, FollowList, Forget, Form, Leased, Order, Phase,
+    Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine,
+    ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
 from lifthinge.tables import bare, part_if_in, parts
 
 # The mechanism, as the design page settles it.
-VIOLATOR_MARK = 1.5         # times the median ratio
-VIOLATOR_REPORTS = 3        # reports in a row
-LOW_SPAN = 60_000.0         # a backend's own lowest latency is of this long
-ROUND_EVERY = 1_000.0
+VIOLATOR_MARK, VIOLATOR_REPORTS = 1.5, 3    # times the median ratio, for so many reports in a row
+LOW_SPAN, ROUND_EVERY = 60_000.0, 1_000.0   # a backend's own lowest latency is of this long; rounds
 MOVE_BUDGET = 4             # moves a round; the page starts with 2
 FILL_BUDGET = 0.3           # of the backends that may be filled a round, if that is more
-REST = 30_000.0             # of a moved slice
-COOL_OFF = 3_000.0
-PUSH_AFTER = 2_000.0        # without most confirmations
-MOST = 0.5                  # share of the proxies that confirm a seal
+REST, COOL_OFF = 30_000.0, 3_000.0  # of a moved slice; of the loop, after a plan that made it worse
+PUSH_AFTER, MOST = 2_000.0, 0.5     # without most confirmations; the share of the proxies that is most
 
 # What the design leaves open.
 STEPS = ((0.0, 0.25), (0.2, 0.4), (0.4, 0.6), (0.6, 0.8), (1.0, 1.0))   # part of warm-up: share of heat
@@ -35,25 +31,21 @@
 SPARE_WEIGHT = 0.001        # of the owner's: a standby line's, or less
 WEIGHT_MOST = 1e8           # over it a table is written anew
 SPARE_LIKED = 0.7           # a displaced slice takes its spare for so much less crowded: that costs no line
-BAD_SHARE = 0.3             # of tries gone wrong: a backend is sick...
-BAD_OVER_MEDIAN = 3.0       # ...if that is also this many times the median share
+BAD_SHARE, BAD_OVER_MEDIAN = 0.3, 3.0   # of tries gone wrong, and times the median share: a backend is sick
 ALL_BAD = 0.95              # a slow or silent backend is sick if so many go wrong
 QUICK = 2.5                 # ratio up to which a backend is not crowded
 BAD_LEAST = 4.0             # tries, before they are judged
 BROAD_SHARE, BROAD_MOST = 0.1, 0.2     # so much goes wrong at so much of the fleet: nobody is singled out
 SHUT_FIRST = 8_000.0        # a sick backend's first time out; doubles
 FILL_PART, FILL_FROM = 0.7, 1.5     # of its part of the mean heat: under it a new one is filled, from over it
-WORTH_MOVING = 0.05         # of a violator's heat: a cooler slice would only use up a destination
-COLD_KEYS = 2.0             # times a moved slice's heat, on its new server
+WORTH_MOVING, COLD_KEYS = 0.05, 2.0     # of a violator's heat: cooler slices stay; times a moved one's heat
 UNSEEN_PART = 0.5           # of the mean heat: room on a backend easing in, before any RPC is seen to go well
-UNHEARD_AFTER = 3.0         # horizons of the reports
-SETTLED_AFTER = 3.0         # horizons: older moves show in reports
+UNHEARD_AFTER, SETTLED_AFTER = 3.0, 3.0     # horizons of the reports: older moves show in them
 HORIZON_NEW = 0.25          # a period's part in the horizon
 URGENT_PART = 0.9           # of the channel's queue is in use; of it are kept back
 KEPT_PART, SPARED_PART = 0.5, 0.25  # from what can wait; from bare tables and late joiners: for withdrawals
 JOINS_GATHER = 0.25         # of the push timer: before late joiners are told what they missed
-LEVELS = 4                  # steps between none and all: each costs a line a slice
-LET_ALL = 1e9               # a level, be it a fraction or a rate
+LEVELS, LET_ALL = 4, 1e9    # steps, each costs a line a slice; a level, be it a fraction or a rate
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
 LET_CUT = 0.7, 0.8          # less is let in: times the part that goes well, within these
 LET_STEP, LET_EVERY, LET_LEAST = 0.1, 2.0, 0.45     # back by so much in so many horizons; never less
@@ -138,7 +130,7 @@
     def _forget(self, backend: Backend) -> None:
         backend.lows.clear()
         backend.outcomes.clear()
-        backend.ratio, backend.strikes, backend.dry = None, 0, 0.0
+        backend.ratio, backend.strikes, backend.dry, backend.late = None, 0, 0.0, (0.0, 0.0)
 
     def _note_join(self, event: ProxyJoined) -> None:
         self.proxies[event.proxy] = None
@@ -148,8 +140,7 @@
     def _note_tries(self, report: TriesReport) -> None:
         backend, ok = report.backend, max(report.total - report.aborted, 0)
         self.spans = self.spans[0] + report.span * report.total, self.spans[1] + report.total
-        backend.ok += ok
-        backend.aborted += report.aborted
+        backend.ok, backend.aborted = backend.ok + ok, backend.aborted + report.aborted
         backend.took_sum += ok * report.took
 
     def _note_heat(self, report: SliceHeat) -> None:
@@ -229,17 +220,27 @@
             one.let_in = 0.0
         for backend in self.backends:
             self._measure(backend)
+        self._drop_gone()
         self._weigh()
         self._weigh_zones()
         self._judge_sick()
         self._judge_ratios()
         self.dirty = True
 
+    def _drop_gone(self) -> None:
+        """Forgets who is gone and named nowhere: each start may bring new ids, for good."""
+        if gone := {b for b in self.backends if b.phase is Phase.GONE} - set(self.plan.values()):
+            gone.difference_update(*([*s.lines, *s.wanted, s.owner] for s in self.slices))
+            self.said += [Forget(b) for b in self.backends if b in gone and b.shut_out]
+            self.backends = {b: None for b in self.backends if b not in gone or not b.shut_out}
+
     def _measure(self, backend: Backend) -> None:
         """A report's latency over the backend's own lowest of the last minute, and its outcomes."""
         backend.lows.forget(self.now - LOW_SPAN)
         if backend.ok:
-            backend.took = backend.took_sum / backend.ok
+            ok, took_sum = backend.late
+            backend.late = ok / 2 + backend.ok, took_sum / 2 + backend.took_sum     # a few alone rank badly
+            backend.took = backend.late[1] / backend.late[0]
             backend.lows.add(self.now, backend.took)
             backend.slow = (backend.slow + backend.took) / 2
             backend.ratio, backend.heard_at = backend.took / max(backend.lows.value(), 1e-3), self.now
@@ -481,7 +482,7 @@
             weight, present = max(part / want[main], SPARE_WEIGHT), have.get(backend, 0.0) / top
             if not present or abs(present - weight) > NEAR * (weight > SPARE_WEIGHT) + SPARE_WEIGHT:
                 owed.append(SetLine(one, backend, weight * top))
-        return owed + dead
+        return owed + dead + [o for o in stale if owed and o.backend.phase is Phase.GONE and o not in dead]
 
     # From wanted to present.
 
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -91,7 +91,8 @@
     aborted: float = 0.0
     asked: float = 0.0
     took_sum: float = 0.0
-    took: float = 0.0                          # mean latency of the last report
+    took: float = 0.0                          # mean latency of the tries of late
+    late: tuple[float, float] = (0.0, 0.0)     # those that went well, and the sum of their latencies, halved
     outcomes: Histogram = field(default_factory=lambda: Histogram((0.5,)))     # 0 went well, 1 went wrong
     shut_until: float = 0.0
     trips: int = 0
@@ -324,5 +325,11 @@
     seal: int
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """Nothing names this backend any more, and it is gone: the adapter need not keep it."""
+    backend: Backend
+
+
 Order = Union[SetLine, ClearTable, BindProxy, ShutOut, SetLevel, Seal, Wake, Probe, TellPeers, Say,
-              FollowList, FetchList, RepeatCall]
+              FollowList, FetchList, RepeatCall, Forget]
--- a/lifthinge/memory/world.py
+++ b/lifthinge/memory/world.py
@@ -1,10 +1,20 @@
-"""The world by its ids: backends, slices and proxies, each one object for good."""
+"""The world by its ids: backends, slices and proxies, each one object for as long as anything names it.
+
+>>> world = World()
+>>> one = world.backend("s-a"); one.shut_out = True; world.forget(one); world.backends
+{}
+>>> world.backend("s-a") is one, world.backend("s-a").shut_out, world.backend("s-b").shut_out
+(False, True, False)
+>>> world.listed[world.backend("s-b")] = None; world.forget(world.backend("s-b")); list(world.backends)
+['s-a', 's-b']
+"""
 from dataclasses import dataclass, field
 from typing import Optional
 
 from lifthinge.interface import Backend, Listing, Proxy, Slice
 
-BACKENDS_MOST = 8192    # ever known; further ones are strangers
+BACKENDS_MOST = 8192    # known at a time; further ones are strangers
+WITHDRAWN_MOST = 8192   # ids kept of those forgotten while withdrawn: they still are, should they come back
 
 
 @dataclass(eq=False, slots=True)
@@ -18,12 +28,27 @@
     held: dict[Slice, None] = field(default_factory=dict)          # in this controller's charge
     proxies: dict[int, Proxy] = field(default_factory=dict)
     joined: dict[Proxy, bool] = field(default_factory=dict)        # whether each came fresh
+    withdrawn: dict[str, None] = field(default_factory=dict)       # ids forgotten, oldest first
 
     def backend(self, name: str) -> Optional[Backend]:
         """The backend of this id; None if it is new and there is no room."""
         if name not in self.backends and len(self.backends) >= BACKENDS_MOST:
             return None
-        return self.backends.get(name) or self.backends.setdefault(name, Backend(name, name))
+        if name not in self.backends:
+            self.backends[name] = Backend(name, name, shut_out=name in self.withdrawn)
+            self.withdrawn.pop(name, None)
+        return self.backends[name]
+
+    def forget(self, backend: Backend) -> None:
+        """Keeps nothing of a backend but that it is withdrawn, unless it has been listed meanwhile."""
+        if backend in self.listed or self.backends.get(backend.ep) is not backend:
+            return
+        del self.backends[backend.ep]
+        self.addresses.pop(backend, None)
+        if backend.shut_out:
+            self.withdrawn[backend.ep] = None
+        if len(self.withdrawn) > WITHDRAWN_MOST:
+            del self.withdrawn[next(iter(self.withdrawn))]
 
     def slice(self, number: int) -> Slice:
         return self.slices.get(number) or self.slices.setdefault(number, Slice(number))
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -5,7 +5,7 @@
 from typing import Any, Awaitable, Callable, Coroutine, Iterable, Optional, Protocol
 
 from lifthinge.interface import (
-    ChannelState, Event, FetchList, FleetNews, FollowList, Form, Leased, Listing, Order, Phase, Probe,
+    ChannelState, Event, FetchList, FleetNews, FollowList, Forget, Form, Leased, Listing, Order, Phase, Probe,
     ProxyJoined, ProxyLeft, RepeatCall, Say, SealConfirmed, SetLine, StoredLine, TellPeers, TimerDue, Wake)
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls
@@ -64,6 +64,7 @@
             RepeatCall: lambda o: self.relay.repeat(o.seal),
             Say: lambda o: log.info("decided", {"what": o.text}),
             FollowList: lambda o: self._follow(o.on),
+            Forget: lambda o: self.world.forget(o.backend),
             FetchList: lambda o: self._run("fetch", self.discovery.fetch)}
 
     async def start(self) -> None:
--- a/lifthinge/service/environment.py
+++ b/lifthinge/service/environment.py
@@ -77,7 +77,8 @@
         peer_listen=_address("peer_listen", conf.get("peer_listen")) if site.peers else None,
         peers=tuple(_address("peers", one) for one in peers),
         peers_all=_address("peers_all", conf["peers_all"]) if site.peers and conf.get("peers_all") else None,
-        seed=_seed(conf.get("seed")), sockets=_sockets(limits.get("sockets")), memory_mb=_memory(limits.get("memory_mb", MEMORY_USUAL)),
+        seed=_seed(conf.get("seed")), sockets=_sockets(limits.get("sockets")),
+        memory_mb=_memory(limits.get("memory_mb", MEMORY_USUAL)),
         known=_part(conf, "known"), terms=terms, site=site)
 
 
--- a/lifthinge/wire/collectors.py
+++ b/lifthinge/wire/collectors.py
@@ -156,8 +156,9 @@
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
         listener = socket.create_server(where, family=family, backlog=ACCEPT_QUEUE)
         listener.setblocking(False)
+        at_once = max(min(self.most // ACCEPTED_PART, ACCEPTED_MOST), 1)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Reporter(self), sock=listener, backlog=max(min(self.most // ACCEPTED_PART, ACCEPTED_MOST), 1))
+            lambda: Reporter(self), sock=listener, backlog=at_once)
         listener.listen(ACCEPT_QUEUE)   # the loop has set the one figure for both
 
     @property
--- a/lifthinge/wirehost/__main__.py
+++ b/lifthinge/wirehost/__main__.py
@@ -4,7 +4,7 @@
 from typing import BinaryIO
 
 from lifthinge.choice import Choice
-from lifthinge.interface import Event
+from lifthinge.interface import Event, Forget
 from lifthinge.terms import MS
 from lifthinge.wirehost.codec import BadFrame, pack_record, pack_reply, read_batch, read_frame
 from lifthinge.wirehost.translate import Door, read_conf
@@ -46,7 +46,7 @@
     def _decide(self, instance: int, now: float, events: list[Event]) -> list[bytes]:
         door, choice = self.instances[instance]
         try:
-            return [door.pack(order) for order in choice.decide(now, events)]
+            return [door.pack(order) for order in choice.decide(now, events) if not isinstance(order, Forget)]
         except Exception as error:  # whatever it is, the wire wants it reported
             traceback.print_exc(file=sys.stderr)
             where = traceback.extract_tb(error.__traceback__)[-1]
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,9 +8,9 @@
 from tests.play import Network, Stage
 
 MODULES = ("channel", "histogram", "lowest", "tables", "terms", "memory.attempts", "memory.calls",
-           "memory.counters", "memory.deadlines", "memory.slots", "service.environment", "service.logs",
-           "wire.buffer", "wire.client", "wire.door", "wire.frames", "wire.http", "wire.probes",
-           "wirehost.codec", "wirehost.translate", "wirehost.__main__")
+           "memory.counters", "memory.deadlines", "memory.slots", "memory.world", "service.environment",
+           "service.logs", "wire.buffer", "wire.client", "wire.door", "wire.frames", "wire.http",
+           "wire.probes", "wirehost.codec", "wirehost.translate", "wirehost.__main__")
 HERE = Path(__file__).parent
 PLAYED = [(path, kind) for folder, kind in (("scenarios", Stage), ("network", Network))
           for path in sorted((HERE / folder).glob("*.txt"))]
--- a/tests/play.py
+++ b/tests/play.py
@@ -19,7 +19,7 @@
 and, as assertions: `owner S a`, `part S a P` (of a slice's
 RPCs, were it let in), `bare S`, `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
 `unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
-wait, at most), `followed N`, `bound N`, `repeated N` (calls). In all scenarios a slice keeps
+wait, at most), `followed N`, `bound N`, `repeated N` (calls), `forgot a`. In all scenarios a slice keeps
 an open line while one is ready.
 """
 import asyncio
@@ -42,9 +42,9 @@
 from lifthinge import interface
 from lifthinge.choice import Choice
 from lifthinge.interface import (
-    Backend, BindProxy, ChannelState, ClearTable, FleetNews, FollowList, Form, Leased, Listing, Method, Phase,
-    Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine, ShutOut,
-    SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
+    Backend, BindProxy, ChannelState, ClearTable, FleetNews, FollowList, Forget, Form, Leased, Listing,
+    Method, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel,
+    SetLine, ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
 from lifthinge.memory.books import Books
 from lifthinge.memory.counters import Counters, Notices
 from lifthinge.memory.deadlines import Deadlines
@@ -74,6 +74,7 @@
     def reborn(self) -> None:
         self.choice, self.joined, self.tables, self.out, self.levels = None, {}, {}, set(), {}
         self.said, self.sent, self.followed, self.bound, self.waiting = [], 0, 0, set(), {}
+        self.forgotten: set[Backend] = set()
         self.next_report, self.due = self.now + self.terms.report_every, []
         self.state, self.repeats, self.sealed = None, 0, 0
 
@@ -119,6 +120,9 @@
             self.due.append((self.now + order.delay, [TimerDue(order.handle)], 0))
         elif isinstance(order, Say):
             self.said.append(order.text)
+        elif isinstance(order, Forget):
+            assert not any(order.backend in table for table in self.tables.values()), "a table names it"
+            self.forgotten.add(order.backend)
         self.followed += isinstance(order, FollowList)
         self.repeats += isinstance(order, RepeatCall)
         self.bound |= {order.proxy} if isinstance(order, BindProxy) else set()
@@ -231,6 +235,10 @@
     def do_out(self, name: str) -> None:
         assert self.name(Backend, name) in self.out, "it is in"
 
+    def do_forgot(self, name: str) -> None:
+        assert self.name(Backend, name) in self.forgotten, "it is kept"
+        assert self.name(Backend, name) not in self.choice.backends, "the decisions keep it"
+
     def do_in(self, name: str) -> None:
         assert self.name(Backend, name) not in self.out, "it is out"
 
@@ -350,8 +358,8 @@
         pass MS                 moves the clock
         reload [relay] [discovery] [away]   a new configuration, which names new addresses; away: out of reach
         counted NAME N          waits for a counter; `now_counted` doesn't
-        program KEY=VALUE ..    the whole program; it has `configure KEY=VALUE ..` (its file, anew), `signal NAME`,
-                                `logs WORDS`, `exits CODE WORDS`
+        program KEY=VALUE ..    the whole program; it has `configure KEY=VALUE ..` (its file, anew),
+                                `signal NAME`, `logs WORDS`, `exits CODE WORDS`
         note N TEXT / noted TEXT / stray TEXT       datagrams from, to and beside peers
 
     Those called are `call`, `news`, `list` and `probe` (`call.1` is a connection remembered apart), each with
@@ -360,7 +368,7 @@
         unasked                 there is none; `takes WORDS`: accepts calls until one has these;
                                 `lacks WORDS`: the last one had not
         says STATUS JSON / opens / line JSON / raw TEXT     an answer, a stream, a chunk of it, escaped bytes
-        breaks / closes / stops / restarts / ended          a reset, an end; listening, ends or begins; it was left
+        breaks / closes / stops / restarts / ended          a reset, an end; listening, ends or begins; left
 
     and a connection that comes in is `in NAME` with `opens [N]`, `says JSON`, `bytewise JSON`, `raw TEXT`,
     `floods N JSON` (without reading), `hears JSON`, `silent`, `closes`, `ended` and `rejected`.
@@ -544,7 +552,7 @@
     # The program as a whole, in a process of its own and in real time.
 
     async def do_program(self, *pairs: str) -> None:
-        """Starts it, in place of one before; `ROUTER_X=TEXT` or `key.key=JSON` changes what it is told, an empty one takes it out."""
+        """Starts it, in place of one before; `ROUTER_X=TEXT` or `key.key=JSON` changes what it is told."""
         await self._end_program()
         with socket.socket() as one:
             one.bind(("127.0.0.1", 0))
