What can wait leaves room for withdrawals with their head; wild reports are outweighed

A log of what holds withdrawals back showed room 2.3 lines and 13,143 of some 21,000 lines waiting when four backends left: at 400 proxies a push of two lines costs 19 with its head, one of what can wait took 17 lines and a head of 17 out of 35 free, and two of the four went alone, with a head of their own. Ruled out: late discovery (0.0 s), a call of unknown fate (none then). At fault: the reserves in _emit, which did not count a further message's head. Now what can wait leaves room for one more message that withdraws a fifth of the backends (three quarters of what is ever free at most), bare tables and late joiners half of it, and all who leave go in one message.

Reports: each field has a range that follows from the settings; one report counts twice the usual tries at most and its latency four times the backend's, or the soft deadline; a slice has no more heat than all. A seal's answer with a number that is none of the channel's confirms nothing.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -2,7 +2,7 @@
 
 >>> books = Channel()
 >>> books.sent(1, 10.0, ["p", "q"], 0.0)
->>> books.confirmed(1, "p"); books.waiting(), books.unconfirmed()
+>>> books.confirmed(1, "p"); books.confirmed(65_000, "q"); books.waiting(), books.unconfirmed()
 (10.0, 1)
 >>> books.repeated(1, 5.0, unrun=False); books.waiting(), books.cost(1)
 (20.0, 10.0)
@@ -14,6 +14,7 @@
 (0.0, 0)
 """
 from collections import deque
+from itertools import islice
 from typing import Hashable, Iterable
 
 
@@ -34,10 +35,10 @@
         self.pushed_at = now
 
     def confirmed(self, seal: int, receiver: Hashable) -> None:
-        """One receiver has answered a seal, and so all before it."""
-        for number, _, missing, _ in self.flight:
-            if number <= seal:
-                missing.pop(receiver, None)
+        """One receiver has answered a seal, and so all before it; any other number means nothing."""
+        upto = max((place for place, one in enumerate(self.flight) if one[0] == seal), default=-1)
+        for _, _, missing, _ in islice(self.flight, upto + 1):
+            missing.pop(receiver, None)
         while len(self.flight) > 1 and not self.flight[0][2]:
             self.flight.popleft()
 
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -43,14 +43,14 @@
 UNHEARD_AFTER, SETTLED_AFTER = 3.0, 3.0     # horizons of the reports: older moves show in them
 HORIZON_NEW = 0.25          # a period's part in the horizon
 URGENT_PART = 0.9           # of the channel's queue is in use; of it are kept back
-KEPT_PART, SPARED_PART = 0.5, 0.25  # from what can wait; from bare tables and late joiners: for withdrawals
+KEPT_PART, SPARED_PART, MOST_KEPT = 0.5, 0.25, 0.75  # from what can wait; from bare tables and late joiners
 JOINS_GATHER = 0.25         # of the push timer: before late joiners are told what they missed
 LEVELS, LET_ALL = 4, 1e9    # steps, each costs a line a slice; a level, be it a fraction or a rate
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
 LET_CUT = 0.7, 0.8          # less is let in: times the part that goes well, within these
 LET_STEP, LET_EVERY, LET_LEAST = 0.1, 2.0, 0.45     # back by so much in so many horizons; never less
 SLOWEST = 6.0               # the channel may send so many times slower; older lines are out for sure
-NEVER = float("inf")
+NEVER, WILD, USUAL_NEW = float("inf"), 2.0, 0.1     # times what is usual is wild; a report's part in that
 WELL, WRONG = 0.0, 1.0      # outcomes of a try
 DRY_LEAST = 8.0             # RPCs asked with none going well for the longest soft deadline: it hangs
 HEALED_PART = 0.3           # of the warm-up: a backend back from being shut eases in this fast
@@ -60,9 +60,7 @@
     """One instance's decisions."""
 
     def __init__(self, terms: SiteTerms, seed: int) -> None:
-        self.terms = terms
-        self.dice = Random(seed)
-        self.soft = min(m.soft_deadline for m in terms.methods)
+        self.terms, self.dice, self.soft = terms, Random(seed), min(m.soft_deadline for m in terms.methods)
         least = min(m.criticality for m in terms.methods)
         self.ranks = [tuple(k for k, m in enumerate(terms.methods) if (m.criticality > least) == high)
                       for high in (False, True)]
@@ -78,18 +76,17 @@
         self.dirty = self.levels_due = True
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at = 0.0 if terms.news_on_request else NEVER
-        self.untold: dict[Backend, None] = {}       # withdrawals that who joined has missed
-        self.untold_at = 0.0                        # when they are told
+        self.untold, self.untold_at = {}, 0.0       # withdrawals that late joiners missed; when to tell
         self.horizon = terms.report_every           # the mean span of a report of late, by its tries
         self.spans = 0.0, 0.0                       # of this period's reports, times their tries; the tries
+        self.usual = 0.0                            # a report's tries
         self.good = 1.0                             # part of all tries that goes well
         self.fair = 0.0                             # RPCs that go well for each warm unit of size
         self.stress: dict[int, float] = {}          # zone: mean latency in shortest soft deadlines
         self.let: dict[int, tuple[float, float]] = {}   # zone: part that is let in, and since when
         self.plan: dict[Slice, Backend] = {}        # moves that still run: slice to former owner
         self.seal, self.channel, self.way = 0, Channel(), ChannelState(True)
-        self.said: list[Order] = []
-        self.owed: list[Slice] = []                 # tables to be written, in order of worth
+        self.said, self.owed = [], []               # orders beside tables; tables to be written, by worth
         if not terms.sliced:
             self.slices[Slice(0, held=True)] = None
 
@@ -123,8 +120,8 @@
                 self._forget(backend)
             backend.zone, backend.phase, backend.started = entry.zone, entry.phase, entry.started
             backend.size = entry.size if self.terms.sizes_told and entry.size > 0 else 1.0
-        for backend in self.backends if news.form is not Form.DELTA else ():
-            backend.phase = backend.phase if backend in listed else Phase.GONE
+        for backend in (b for b in self.backends if news.form is not Form.DELTA and b not in listed):
+            backend.phase = Phase.GONE
         self.dirty = True
 
     def _forget(self, backend: Backend) -> None:
@@ -138,23 +135,28 @@
         self.untold.update((b, None) for b in self.backends if b.shut_out)
 
     def _note_tries(self, report: TriesReport) -> None:
-        backend, ok = report.backend, max(report.total - report.aborted, 0)
-        self.spans = self.spans[0] + report.span * report.total, self.spans[1] + report.total
-        backend.ok, backend.aborted = backend.ok + ok, backend.aborted + report.aborted
-        backend.took_sum += ok * report.took
+        # No report counts for much more than the others do of late: many sane ones outweigh a wild one.
+        backend, usual = report.backend, self.usual or report.total
+        part = min(max(WILD * usual, BAD_LEAST) / max(report.total, 1), 1.0)
+        total, ok = part * report.total, part * max(report.total - report.aborted, 0)
+        sane = min(report.took, max(2 * WILD * backend.took, self.soft))
+        self.usual = usual + (total - usual) * USUAL_NEW
+        self.spans = self.spans[0] + report.span * total, self.spans[1] + total
+        backend.ok, backend.aborted = backend.ok + ok, backend.aborted + total - ok
+        backend.took_sum += ok * sane
 
     def _note_heat(self, report: SliceHeat) -> None:
         one = report.slice
         one.let_in += report.total * one.levels[report.method in self.ranks[1]]
-        rate = report.total / max(report.span, 1.0)
+        most = max(sum(s.heat or 0.0 for s in self.slices), WILD * (one.heat or 0.0))  # of all
+        rate = min(report.total / max(report.span, 1.0), most if one.rates else NEVER)
         one.rates[report.method] = (one.rates.get(report.method, (rate, 0.0))[0] + rate) / 2, self.now
 
     def _note_lease(self, event: Leased) -> None:
         one = event.slice
-        self.plan.pop(one, None)
+        self.plan.pop(one, None), self.slices.pop(one, None)
         one.held, one.lines, one.owner, one.wanted, one.heat = event.given, {}, None, {}, None
         one.owed, one.rates, one.levels = [], {}, (1.0, 1.0)
-        self.slices.pop(one, None)
         if event.given:
             self.slices[one], self.levels_due = None, True
         self.dirty = True
@@ -238,8 +240,7 @@
         """A report's latency over the backend's own lowest of the last minute, and its outcomes."""
         backend.lows.forget(self.now - LOW_SPAN)
         if backend.ok:
-            ok, took_sum = backend.late
-            backend.late = ok / 2 + backend.ok, took_sum / 2 + backend.took_sum     # a few alone rank badly
+            backend.late = backend.late[0] / 2 + backend.ok, backend.late[1] / 2 + backend.took_sum
             backend.took = backend.late[1] / backend.late[0]
             backend.lows.add(self.now, backend.took)
             backend.slow = (backend.slow + backend.took) / 2
@@ -376,8 +377,7 @@
                              f" ({source.ratio or 0:.1f}) to {target.name} ({target.ratio or 0:.1f})"))
         source.heat, target.heat = source.heat - one.heat, target.heat + one.heat
         target.home_heat += one.heat
-        one.owner, one.rests_until = target, self.now + REST
-        self.dirty = True
+        one.owner, one.rests_until, self.dirty = target, self.now + REST, True
 
     def _cancel(self) -> None:
         """Drops the moves that have not been sent and lets the system cool off."""
@@ -385,8 +385,7 @@
             if one.owed and one.shifts and self._usable(former):
                 one.owner, one.rests_until = former, 0.0
         self.plan.clear()
-        self.cool_until = self.now + COOL_OFF
-        self.dirty = True
+        self.cool_until, self.dirty = self.now + COOL_OFF, True
 
     # What is wanted.
 
@@ -429,9 +428,8 @@
             backend.shut_until = min(backend.shut_until, self.now)
         for one in sorted((s for s in self.slices if s.owner is None or s.owner.phase is not Phase.READY),
                           key=lambda s: -s.heat):
-            one.owner = self._refuge(one, usable)
-            one.owner.heat += one.heat
-            one.owner.home_heat += one.heat
+            one.owner = owner = self._refuge(one, usable)
+            owner.heat, owner.home_heat = owner.heat + one.heat, owner.home_heat + one.heat
         warm = [b for b in usable if self._share(b) >= 1]
         for one in self.slices:
             one.wanted = self._lines(one, warm)
@@ -507,16 +505,17 @@
 
         Withdrawals and bare tables go at once, from a reserve; the rest waits for most confirmations.
         """
-        orders: list[Order] = []
         if self.dirty:
             self._list_owed()
         self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
                             self.now - self.terms.update_window, self.now * self.way.held)
-        each, head = max(len(self.proxies), 1), self.terms.head_lines + 1
+        each, head, orders = max(len(self.proxies), 1), self.terms.head_lines + 1, []
         whole = self.terms.pending_max / each
         most = whole * URGENT_PART - head       # that is ever free; a small channel keeps back less of it
         room = most - self.channel.waiting() / each
-        kept, spared = min(whole * KEPT_PART, most / 2), min(whole * SPARED_PART, most / 4)
+        batch = head + BROAD_MOST * len(self.backends)      # for a further message that withdraws so many
+        kept = max(min(whole * KEPT_PART, most / 2), min(batch, most * MOST_KEPT))
+        spared = max(min(whole * SPARED_PART, most / 4), min(batch, most / 2))
 
         def worth(lines: int, back: float) -> float:    # the room at which a push is worth its head
             return min(lines, head, (most - back) / 2)
@@ -526,9 +525,10 @@
             self.channel.repeated(self.way.unknown, self.now, unrun)
             self.said.append(RepeatCall(self.way.unknown))
         room *= self.way.free
-        for backend in self.backends:
-            if not backend.shut_out and self._must_out(backend) and room > (
-                    1 if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
+        leaving = min(sum(b.phase is not Phase.READY and not b.shut_out for b in self.backends), most / 2)
+        for backend in self.backends:   # all who leave in one message: another would wait for its head, too
+            if not backend.shut_out and self._must_out(backend) and room > (max(1, leaving - len(orders))
+                    if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
                 orders.append(ShutOut(backend, True))
                 backend.shut_out, self.dirty, room = True, True, room - 1
         # Who joined late has missed the withdrawals so far: told together, as each push costs its head.
@@ -548,7 +548,7 @@
         if self._may_push():
             room, back, kept = room - kept, kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
-                self.levels_due = False
+                self.levels_due, room = False, room - 1
                 orders.append(SetLevel(self.ranks[0] + self.ranks[1], None, LET_ALL, Retry.NEVER_RAN))
             if orders or room > worth(sum(len(one.owed) for one in self.owed), back):
                 room = self._pay(self.owed, room, orders)
--- a/lifthinge/memory/calls.py
+++ b/lifthinge/memory/calls.py
@@ -51,7 +51,8 @@
         return call
 
     def settle(self, done: list[Pending]) -> None:
-        self._waiting = [one for one in self._waiting if one not in done]
+        settled = set(done)
+        self._waiting = [one for one in self._waiting if one not in settled]
         for one in done:
             self.settled += 1
             if isinstance(one.order, (SetLine, ClearTable)):
--- a/lifthinge/terms.py
+++ b/lifthinge/terms.py
@@ -5,6 +5,10 @@
 from lifthinge.interface import Method, SiteTerms
 
 MS = 1000.0
+NOISE_MOST = 2.0            # times the true mean: reports are a little noisy
+PERIODS_MOST = 100          # report periods that one sum covers
+TURNS_MOST = 10             # RPCs that one place at a backend serves within the shortest soft deadline
+BACKENDS_LARGER = 2         # times the connections of the smallest backend
 
 
 class BadTerms(Exception):
@@ -19,6 +23,9 @@
     load_fields: tuple[str, ...]
     slices: int
     proxies: int
+    took_most: float        # ms that a report's tries may have taken on the mean
+    span_most: float        # ms that it may cover
+    rate_most: float        # tries a millisecond that it may tell
     number: int             # this controller's, among those of its tier
     probes: bool
     peers: bool
@@ -68,10 +75,20 @@
 
 
 def _map(conf: dict[str, Any]) -> SiteMap:
-    special = conf["Specifics"]
+    """A sane report stays within what the settings let happen.
+
+    No try outlives the longest deadline; sums wait while others get in, a hundred periods at most; and one
+    backend holds no more RPCs at a time than its connections bear, each for a tenth of an aim at least.
+    """
+    special, services = conf["Specifics"], conf["Services"]
+    at_once = special["ConnsLeast"] * BACKENDS_LARGER * max(conf["Limits"].get("Multiplex", 1), 1)
     return SiteMap(
         zones=tuple(conf["Zones"]), methods=tuple(one["Name"] for one in conf["Services"]),
         load_fields=tuple(conf.get("Report", {}).get("Fields", ())), slices=int(special["Ranges"]),
-        proxies=int(special["DataPlaneSize"]), number=int(conf["SlotNo"]),
+        proxies=int(special["DataPlaneSize"]),
+        took_most=max(one["Deadline"] for one in services) * MS * NOISE_MOST,
+        span_most=special["ReportEvery"] * MS * PERIODS_MOST,
+        rate_most=at_once * TURNS_MOST / (min(one["Target"] for one in services) * MS),
+        number=int(conf["SlotNo"]),
         probes=bool(conf["Limits"].get("Probes", False)), peers=bool(conf["Limits"].get("MayTell", False)),
         news_on_request=conf["MembershipMode"] == "ask")
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -3,15 +3,16 @@
 from typing import Any, Callable, Union
 
 from lifthinge.interface import (
-    Backend, BindProxy, ClearTable, Event, Leased, Listing, Proxy, ProxyJoined, ProxyLeft, ProxyLoad,
+    Backend, BindProxy, ClearTable, Event, Leased, Listing, Phase, Proxy, ProxyJoined, ProxyLeft, ProxyLoad,
     Seal, SealConfirmed, SetLevel, SetLine, ShutOut, Slice, SliceHeat, StoredLine, TriesReport)
 from lifthinge.memory.world import World
 from lifthinge.terms import SiteMap
 from lifthinge.wire import names
 from lifthinge.wire.frames import Skip
 
-COUNT_MOST = float(1 << 32)
+COUNT_MOST = float(1 << 32)     # a version, or a number of the relay's: told by who does not spoil them
 NUMBER_MOST = 1e15
+SEAL_MOST = 65_535
 WEIGHT_LEAST = 0.0005   # the most that a weight told as 0 can be
 _REQUIRED = object()
 
@@ -177,23 +178,28 @@
         return self.world.proxy(fields.whole(names.PROXY, self.site.proxies - 1))
 
     def _tries(self, f: Fields) -> Event:
-        total, failed = f.whole(names.TOTAL), f.whole(names.ABORTED)
+        total, failed, span = self._counts(f)
+        took = f.number(names.TOOK, _REQUIRED if total > failed else 0.0, self.site.took_most)
+        return TriesReport(f.place(names.ZONE, self.site.zones), self._backend(f), total, failed, took,
+                           span, f.load(self.site.load_fields))
+
+    def _counts(self, f: Fields) -> tuple[int, int, float]:
+        """Tries, those that were aborted, and the span: each within what the settings let happen."""
+        span = f.number(names.SPAN, most=self.site.span_most)
+        total = f.whole(names.TOTAL, max(span, 1.0) * self.site.rate_most)
+        failed = f.whole(names.ABORTED)
         if failed > total:
             raise _Unfit("more aborted than tried")
-        took = f.number(names.TOOK, _REQUIRED if total > failed else 0.0)
-        return TriesReport(f.place(names.ZONE, self.site.zones), self._backend(f), total, failed, took,
-                           f.number(names.SPAN), f.load(self.site.load_fields))
+        return total, failed, span
 
     def _heat(self, f: Fields) -> Event:
-        return SliceHeat(self._slice(f), f.place(names.METHOD, self.site.methods), f.whole(names.TOTAL),
-                         f.whole(names.ABORTED), f.number(names.SPAN))
+        return SliceHeat(self._slice(f), f.place(names.METHOD, self.site.methods), *self._counts(f))
 
     def _proxy_load(self, f: Fields) -> Event:
         proxy = self._proxy(f)
         if proxy not in self.world.joined:
             raise _Unfit("the proxy has not joined")
-        return ProxyLoad(proxy, f.place(names.METHOD, self.site.methods), f.whole(names.TOTAL),
-                         f.whole(names.ABORTED), f.number(names.SPAN))
+        return ProxyLoad(proxy, f.place(names.METHOD, self.site.methods), *self._counts(f))
 
     def _joined(self, f: Fields) -> Event:
         number, zone = f.whole(names.PROXY, self.site.proxies - 1), f.place(names.ZONE, self.site.zones)
@@ -205,7 +211,7 @@
         return ProxyLeft(self._proxy(f))
 
     def _confirmed(self, f: Fields) -> Event:
-        return SealConfirmed(self._proxy(f), f.whole(names.SEAL_HEARD), f.number(names.SEAL_TOOK, 0.0))
+        return SealConfirmed(self._proxy(f), f.whole(names.SEAL_HEARD, SEAL_MOST), f.number(names.SEAL_TOOK, 0.0))
 
     def _leased(self, f: Fields) -> Event:
         return Leased(self._slice(f), f.flag(names.GIVEN))
@@ -228,10 +234,13 @@
             where = address(f.text(names.ADDRESS))
         except ValueError:
             raise _Unfit("no address in figures") from None
-        backend = known or self.world.backend(name)
-        if backend is None:
-            raise _Unfit("one backend too many")
-        self.world.addresses[backend] = where
+        if phase is Phase.GONE:     # nothing is kept of one that was never known, or is forgotten
+            backend = known or Backend(name, name)
+        else:
+            backend = self.world.backend(name)
+            if backend is None:
+                raise _Unfit("one backend too many")
+            self.world.addresses[backend] = where
         return Listing(backend, zone, int(f.number(names.CELL, 0.0)), phase, started, size)
 
     def _level(self, order: SetLevel) -> dict[str, Any]:
--- a/tests/play.py
+++ b/tests/play.py
@@ -11,6 +11,7 @@
     join N .. / leave N     proxies come, one goes
     given S a:W b:W / taken S
     heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
+    once a TOTAL ABORTED TOOK                            one report beside them
     confirm yes|no          whether seals are confirmed (after 100 ms)
     channel free|held|unknown       what is heard of it from now on; unknown: the last call's fate
     kill                    the instance dies; the next one knows nothing
@@ -199,6 +200,10 @@
         self.reports["heard", name] = lambda: TriesReport(
             0, self.name(Backend, name), int(total), int(aborted), float(took), self.terms.report_every, ())
 
+    def do_once(self, name: str, total: str, aborted: str, took: str) -> None:
+        self.tell(TriesReport(0, self.name(Backend, name), int(total), int(aborted), float(took),
+                              self.terms.report_every, ()))
+
     def do_heat(self, number: str, total: str, periods: str = "1") -> None:
         span = self.terms.report_every * int(periods)
         self.reports["heat", number] = lambda: TimerDue(0) if self.now % span else SliceHeat(
@@ -271,11 +276,11 @@
 SITE = {
     "Balancers": 2, "SlotNo": 0, "Zones": ["za", "zb"], "MembershipMode": "push", "Weights": "nominal",
     "Services": [{"Name": name, "Target": 0.8, "Deadline": 2.0, "Worth": 1.0} for name in ("look", "scan")],
-    "Report": {"Fields": ["utilization", "throughput"]}, "Limits": {"Probes": True, "MayTell": True},
+    "Report": {"Fields": ["utilization", "throughput"]}, "Limits": {"Probes": True, "MayTell": True, "Multiplex": 32},
     "Rules": {"WarmUp": 16.0},
     "Specifics": {
         "Ranges": 8, "DataPlaneSize": 6, "Admit": "ratio", "ReportEvery": 0.5, "ChannelRate": 5000.0,
-        "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0}}
+        "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0, "ConnsLeast": 400.0}}
 PATIENCE = 5.0      # real seconds until a scenario that waits for something has failed
 PATHS = {"call": b"POST /v3/kv/txn ", "news": b"GET /v3/kv/watch ", "list": b"GET /v1/endpoints",
          "probe": b"GET /"}
