--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -137,13 +137,13 @@
     def _note_tries(self, report: TriesReport) -> None:
         # No report counts for much more than the others do of late: many sane ones outweigh a wild one.
         backend, usual = report.backend, self.usual or report.total
-        part = min(max(WILD * usual, BAD_LEAST) / max(report.total, 1), 1.0)
-        total, ok = part * report.total, part * max(report.total - report.aborted, 0)
-        sane = min(report.took, max(2 * WILD * backend.took, self.soft))
+        part = min(max(2 * WILD * usual, BAD_LEAST) / max(report.total, 1), 1.0)
+        ok = part * max(report.total - report.aborted, 0)
+        total = ok + min(part * report.aborted, max(WILD * usual, BAD_LEAST))
         self.usual = usual + (total - usual) * USUAL_NEW
         self.spans = self.spans[0] + report.span * total, self.spans[1] + total
         backend.ok, backend.aborted = backend.ok + ok, backend.aborted + total - ok
-        backend.took_sum += ok * sane
+        backend.took_sum += ok * min(report.took, max(2 * WILD * backend.took, self.soft))
 
     def _note_heat(self, report: SliceHeat) -> None:
         one = report.slice
