No cap on a report's latency: it hid jams from the grown deployment

At fault: the cap of a report's latency at four times the backend's last, which hid that it jams; taken out. A single wild latency within the door's range (twice the longest deadline) weighs by its own tries.

--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -143,7 +143,7 @@
         self.usual = usual + (total - usual) * USUAL_NEW
         self.spans = self.spans[0] + report.span * total, self.spans[1] + total
         backend.ok, backend.aborted = backend.ok + ok, backend.aborted + total - ok
-        backend.took_sum += ok * min(report.took, max(2 * WILD * backend.took, self.soft))
+        backend.took_sum += ok * report.took
 
     def _note_heat(self, report: SliceHeat) -> None:
         one = report.slice
--- a/lifthinge/terms.py
+++ b/lifthinge/terms.py
@@ -81,7 +81,8 @@
     backend holds no more RPCs at a time than its connections bear, each for a tenth of an aim at least.
     """
     special, services = conf["Specifics"], conf["Services"]
-    at_once = special.get("ConnsLeast", float("inf")) * BACKENDS_LARGER * max(conf["Limits"].get("Multiplex", 1), 1)
+    multiplex = max(conf["Limits"].get("Multiplex", 1), 1)
+    at_once = special.get("ConnsLeast", float("inf")) * BACKENDS_LARGER * multiplex
     return SiteMap(
         zones=tuple(conf["Zones"]), methods=tuple(one["Name"] for one in conf["Services"]),
         load_fields=tuple(conf.get("Report", {}).get("Fields", ())), slices=int(special["Ranges"]),
