--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -211,7 +211,8 @@
         return ProxyLeft(self._proxy(f))
 
     def _confirmed(self, f: Fields) -> Event:
-        return SealConfirmed(self._proxy(f), f.whole(names.SEAL_HEARD, SEAL_MOST), f.number(names.SEAL_TOOK, 0.0))
+        seal = f.whole(names.SEAL_HEARD, SEAL_MOST)
+        return SealConfirmed(self._proxy(f), seal, f.number(names.SEAL_TOOK, 0.0))
 
     def _leased(self, f: Fields) -> Event:
         return Leased(self._slice(f), f.flag(names.GIVEN))
