--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -244,7 +244,8 @@
             backend.took = backend.late[1] / backend.late[0]
             backend.lows.add(self.now, backend.took)
             backend.slow = (backend.slow + backend.took) / 2
-            backend.ratio, backend.heard_at = backend.took / max(backend.lows.value(), 1e-3), self.now
+            backend.low = max(backend.lows.value(), 1e-3)
+            backend.ratio, backend.heard_at = backend.took / backend.low, self.now
         elif self.now - (backend.heard_at or 0.0) > UNHEARD_AFTER * self.horizon:
             backend.ratio = None
         backend.outcomes.add(WELL, backend.ok)
@@ -282,7 +283,8 @@
         mark = VIOLATOR_MARK * self._median()
         for backend in self.backends:
             if backend.ok or backend.ratio is None:
-                backend.strikes = backend.strikes + 1 if (backend.ratio or 0.0) > mark else 0
+                own = backend.took_sum / max(backend.ok, 1e-9) > mark * backend.low
+                backend.strikes = backend.strikes + own if (backend.ratio or 0.0) > mark else 0
             backend.ok = backend.aborted = backend.asked = backend.took_sum = 0.0
 
     def _median(self) -> float:
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -91,6 +91,7 @@
     aborted: float = 0.0
     asked: float = 0.0
     took_sum: float = 0.0
+    low: float = 1.0                           # the lowest latency of the last minute
     took: float = 0.0                          # mean latency of the tries of late
     late: tuple[float, float] = (0.0, 0.0)     # those that went well, and the sum of their latencies, halved
     outcomes: Histogram = field(default_factory=lambda: Histogram((0.5,)))     # 0 went well, 1 went wrong
