--- /dev/null
+++ b/lifthinge/agreed/document.py
@@ -0,0 +1,98 @@
+"""The document that operators write and members agree on, and what is wrong with one.
+
+It names no deployment: backends, zones and methods are those that the platform's settings and list name.
+
+>>> body = {"backends": [{"id": "s-1", "reason": "disk", "until": 5000.0}], "zones": [{"name": "a", "share": 0.5}],
+...         "methods": [{"name": "lookup", "criticality": 3.0}]}
+>>> document = read_document(body); document.backends[0].reason, document.zones[0].share
+('disk', 0.5)
+>>> read_document({"zones": [{"name": "a", "shar": 0.5}]})
+Fault(key='zones[0].shar', why='unknown; did you mean share?')
+>>> read_document({"zones": [{"name": "a", "share": 3}, {"name": "a"}]})
+Fault(key='zones[0].share', why='Input should be less than or equal to 1')
+>>> read_document({"backends": [{"id": "x", "reason": "disk", "until": 9}, {"id": "x", "reason": "fan"}]})
+Fault(key='backends[1].id', why='x is named twice')
+"""
+from typing import Annotated, Any, NamedTuple, Union
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from lifthinge.nearest import nearest
+
+BACKENDS_MOST, ZONES_MOST, METHODS_MOST, REASON_MOST, NAME_MOST = 4_096, 256, 256, 400, 200
+DOCUMENT_MOST = 1 << 20     # bytes of one that is packed
+Name = Annotated[str, Field(min_length=1, max_length=NAME_MOST)]
+
+
+class Fault(NamedTuple):
+    """What is wrong with a document, and where."""
+    key: str
+    why: str
+
+
+class _Checked(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class OutOfService(_Checked):
+    """A backend that is taken out by hand: as good as draining, until then (ms of Unix time; 0: until told)."""
+    id: Name
+    reason: Annotated[str, Field(min_length=1, max_length=REASON_MOST)]
+    until: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 0.0
+
+
+class ZoneShare(_Checked):
+    """What part of its usual work a zone's backends are given."""
+    name: Name
+    share: Annotated[float, Field(ge=0.05, le=1, allow_inf_nan=False)] = 1.0
+
+
+class MethodWorth(_Checked):
+    """What an RPC of a method is worth, in place of what the platform's settings say."""
+    name: Name
+    criticality: Annotated[float, Field(gt=0, le=1_000_000, allow_inf_nan=False)]
+
+
+class Document(_Checked):
+    backends: Annotated[tuple[OutOfService, ...], Field(max_length=BACKENDS_MOST)] = ()
+    zones: Annotated[tuple[ZoneShare, ...], Field(max_length=ZONES_MOST)] = ()
+    methods: Annotated[tuple[MethodWorth, ...], Field(max_length=METHODS_MOST)] = ()
+
+
+def read_document(body: Any) -> Union[Document, Fault]:
+    """A checked document out of untrusted data, or the first thing that is wrong with it."""
+    try:
+        document = Document.model_validate(body)
+    except ValidationError as error:
+        return fault_of(error, Document)
+    for part, key in (("backends", "id"), ("zones", "name"), ("methods", "name")):
+        seen = set()
+        for place, one in enumerate(getattr(document, part)):
+            name = getattr(one, key)
+            if name in seen:
+                return Fault(f"{part}[{place}].{key}", f"{name} is named twice")
+            seen.add(name)
+    return document
+
+
+def fault_of(error: ValidationError, model: type[BaseModel]) -> Fault:
+    """The first fault that the schema found, with the nearest name for one that it does not know."""
+    found = error.errors(include_url=False)
+    first = next((one for one in found if one["type"] == "extra_forbidden"), found[0])     # a name mistyped is missing, too
+    key = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in first["loc"]).lstrip(".")
+    if first["type"] != "extra_forbidden":
+        return Fault(key or "document", first["msg"])
+    known, fields = model, model.model_fields
+    for part in first["loc"][:-1]:
+        if isinstance(part, str) and part in fields:
+            known = _model_in(fields[part].annotation)
+            fields = known.model_fields if known else {}
+    like = nearest(str(first["loc"][-1]), fields)
+    return Fault(key, f"unknown; did you mean {like}?" if like else "unknown")
+
+
+def _model_in(annotation: Any) -> Union[type[BaseModel], None]:
+    """The model that a field's type is, or is a tuple, list or map of."""
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    return next((found for one in getattr(annotation, "__args__", ()) if (found := _model_in(one))), None)
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -11,8 +11,8 @@
 
 from lifthinge.channel import Channel
 from lifthinge.interface import (
-    Backend, BindProxy, ChannelState, Event, FleetNews, FollowList, Forget, Form, Leased, Order, Phase,
-    Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine,
+    Backend, BindProxy, ByHand, ChannelState, Event, FleetNews, FollowList, Forget, Form, Leased, Order,
+    Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine,
     ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
 from lifthinge.tables import bare, part_if_in, parts
 
@@ -61,15 +61,15 @@
 
     def __init__(self, terms: SiteTerms, seed: int) -> None:
         self.terms, self.dice, self.soft = terms, Random(seed), min(m.soft_deadline for m in terms.methods)
-        least = min(m.criticality for m in terms.methods)
-        self.ranks = [tuple(k for k, m in enumerate(terms.methods) if (m.criticality > least) == high)
-                      for high in (False, True)]
+        self.ranks = self._rank({})
+        self.by_hand, self.shares = {}, {}          # backends out of service by hand; by zone, of usual work
         self.backends: dict[Backend, None] = {}     # every one ever listed or named by the store
         self.slices: dict[Slice, None] = {}         # in this instance's charge
         self.proxies: dict[Proxy, None] = {}        # joined
         self.notes = {  # what waits for a proxy that left counts until it is out for sure
-            FleetNews: self._note_fleet, ProxyJoined: self._note_join, TriesReport: self._note_tries,
-            SliceHeat: self._note_heat, Leased: self._note_lease, StoredLine: self._note_line,
+            ByHand: self._note_by_hand, FleetNews: self._note_fleet, ProxyJoined: self._note_join,
+            TriesReport: self._note_tries, SliceHeat: self._note_heat,
+            Leased: self._note_lease, StoredLine: self._note_line,
             ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
             ChannelState: lambda event: setattr(self, "way", event),
             SealConfirmed: lambda event: self.channel.confirmed(event.seal, event.proxy)}
@@ -118,10 +118,39 @@
                 backend.eased_from, backend.ease_span = entry.started, self.terms.warm_up
                 backend.shut_until, backend.on_trial = 0.0, False
                 self._forget(backend)
-            backend.zone, backend.phase, backend.started = entry.zone, entry.phase, entry.started
-            backend.size = entry.size if self.terms.sizes_told and entry.size > 0 else 1.0
+            backend.zone, backend.listed, backend.started = entry.zone, entry.phase, entry.started
+            backend.told_size = entry.size if self.terms.sizes_told and entry.size > 0 else 1.0
         for backend in (b for b in self.backends if news.form is not Form.DELTA and b not in listed):
-            backend.phase = Phase.GONE
+            backend.listed = Phase.GONE
+        self._settle()
+
+    def _rank(self, worth: dict[int, float]) -> list[tuple[int, ...]]:
+        """Methods of the least criticality, and the others."""
+        worths = [worth.get(k, m.criticality) for k, m in enumerate(self.terms.methods)]
+        return [tuple(k for k, one in enumerate(worths) if (one > min(worths)) == high)
+                for high in (False, True)]
+
+    def _note_by_hand(self, event: ByHand) -> None:
+        self.by_hand, self.shares = dict.fromkeys(event.out), event.shares
+        if (ranks := self._rank(event.criticality)) != self.ranks:
+            self.ranks, self.levels_due = ranks, True       # all are let in, then levels follow the new ranks
+            for one in self.slices:
+                one.levels = (1.0, 1.0)
+        self._settle()
+
+    def _settle(self) -> None:
+        """Phases as listed, but who is out by hand is as good as draining, while a warm one is left.
+
+        Against an agreed document that takes out too much: the list has them ready, rules 1 and 4 hold.
+        """
+        acts = any(b.listed is Phase.READY and b not in self.by_hand and self._share(b) >= 1
+                   and b.shut_until <= self.now for b in self.backends)
+        for backend in self.backends:
+            held = acts and backend in self.by_hand and backend.listed is Phase.READY
+            backend.phase = Phase.DRAINING if held else backend.listed
+            backend.size = backend.told_size * self.shares.get(backend.zone, 1.0)
+        if self.by_hand and not acts:
+            self.said.append(Say("out of service by hand does not act: nobody warm would be left"))
         self.dirty = True
 
     def _forget(self, backend: Backend) -> None:
@@ -222,6 +251,8 @@
             one.let_in = 0.0
         for backend in self.backends:
             self._measure(backend)
+        if self.by_hand:
+            self._settle()
         self._drop_gone()
         self._weigh()
         self._weigh_zones()
@@ -555,7 +586,9 @@
             if orders or room > worth(sum(len(one.owed) for one in self.owed), back):
                 room = self._pay(self.owed, room, orders)
         for backend in self.backends:
-            if backend.shut_out and room > kept + 1 and self._open(backend) and not self._over(backend):
+            if backend.shut_out and room > kept + 1 and self._open(backend) and (
+                    not self._over(backend) or self._share(backend) >= 1 and any(
+                        backend in one.lines and bare(one.lines) for one in self.slices)):
                 backend.shut_out, self.dirty, room = False, True, room - 1
                 self._forget(backend)
                 for one in (s for s in self.slices if backend in s.lines):
--- /dev/null
+++ b/lifthinge/cli/common.py
@@ -0,0 +1,78 @@
+"""What commands share: one-line errors, tables for people, JSON for programs."""
+import asyncio
+import json
+import sys
+import time
+from typing import Any, Awaitable, Callable, Iterable, NoReturn, TypeVar
+
+import click
+
+from lifthinge.operators import Operators, Unfit, load_operators
+
+DONE, FAILED, UNUSABLE = 0, 1, 2
+T = TypeVar("T")
+
+as_json = click.option("--json", "as_json", is_flag=True, help="JSON, one object, for programs.")
+operators_file = click.option("--operator", "path", default="deploy/operator.hcl", show_default=True,
+                              help="The operators' file.")
+
+
+def stop(why: object, code: int = UNUSABLE) -> NoReturn:
+    """Ends the command with one line."""
+    click.echo(f"lifthinge: {why}", err=True)
+    sys.exit(code)
+
+
+def need(path: str) -> Operators:
+    """The operators' file, or the end of the command."""
+    found = load_operators(path)
+    if isinstance(found, Unfit):
+        stop(found)
+    return found
+
+
+def show(data: Any, as_json: bool, rows: Iterable[tuple] = (), head: tuple[str, ...] = ()) -> None:
+    """A table for people, or the data."""
+    if as_json:
+        click.echo(json.dumps(data, sort_keys=True))
+        return
+    table = [head, *[tuple(str(one) for one in row) for row in rows]] if head else [
+        tuple(str(one) for one in row) for row in rows]
+    widths = [max(len(row[at]) for row in table) for at in range(len(table[0]))] if table else []
+    for row in table:
+        click.echo("  ".join(one.ljust(width) for one, width in zip(row, widths)).rstrip())
+
+
+def with_client(path: str, use: Callable[..., Awaitable[T]], wait_ms: float) -> T:
+    """Runs `use(client, until)` against the members that the operators' file names."""
+    from lifthinge.cluster.client import AgreedClient
+    from lifthinge.cluster.keys import KeyFile, NoKeys, read_keys
+    from lifthinge.operators import split_address
+    from lifthinge.service.run import make_books
+    part = need(path).agreed
+    if part is None:
+        stop(f"{path}: agreed: no such block, so no members to ask")
+    keys = read_keys(part.key_file)
+    if isinstance(keys, NoKeys):
+        stop(f"{path}: agreed.key_file: {keys.path}: {keys.why}")
+
+    async def run() -> T:
+        books = make_books(time.time_ns(), 256)
+        members = {name: split_address(one) for name, one in part.members.items()}
+        client = AgreedClient(books, members, part.cluster, "cli", KeyFile(part.key_file, keys))
+        try:
+            return await use(client, books.now + wait_ms)
+        finally:
+            client.close()
+    return asyncio.run(run())
+
+
+def refuse_sorry(reply: Any) -> None:
+    """Ends the command if the members gave no proper answer."""
+    from lifthinge.cluster.talk import Sorry
+    if reply is None:
+        stop("no member answered in time", FAILED)
+    if isinstance(reply, Sorry):
+        leads = f"; {reply.leader} leads" if reply.leader else ""
+        unsure = "; it may have taken effect" if reply.may_have_run else ""
+        stop(f"{reply.why}{leads}{unsure}", FAILED)
--- /dev/null
+++ b/lifthinge/cluster/client.py
@@ -0,0 +1,141 @@
+"""Asks the members: finds who leads, and repeats under the same number until it is known what became of it."""
+import asyncio
+from typing import Any, Optional, Union
+
+import msgspec
+
+from lifthinge.agreed.commands import Accepted, Opened, Outdated, Propose, Unusable
+from lifthinge.cluster import talk
+from lifthinge.cluster.keys import KeyFile
+from lifthinge.cluster.link import Link
+from lifthinge.cluster.talk import Sorry
+from lifthinge.memory.attempts import Failure
+from lifthinge.memory.books import Books
+from lifthinge.wire.connection import connect
+
+ANSWER_WAIT = 10_000.0      # ms for one answer, beyond the member's own limit
+ASIDE = 20.0, 250.0         # ms between tries, the longer the more have failed
+Address = tuple[str, int]
+
+
+class Call:
+    """One connection to one member, and the asks under way on it."""
+
+    def __init__(self, books: Books, link: Link) -> None:
+        self.books, self.link = books, link
+        self._number = 0
+        self._waiting: dict[int, asyncio.Future] = {}
+        self.told: Optional[asyncio.Queue] = None       # what comes after the first answer of a Follow
+        link.heard, link.closed = self._heard, self._closed
+
+    def _heard(self, link: Link, body: bytes) -> None:
+        number, reply = talk.read_reply(body)
+        future = self._waiting.pop(number, None)
+        if future is not None and not future.done():
+            future.set_result(reply)
+        elif self.told is not None:
+            self.told.put_nowait(reply)
+
+    def _closed(self, link: Link) -> None:
+        waiting, self._waiting = self._waiting, {}
+        for future in waiting.values():
+            if not future.done():
+                future.set_result(None)
+        if self.told is not None:
+            self.told.put_nowait(None)
+
+    async def ask(self, what: talk.Ask, wait: float = ANSWER_WAIT) -> Optional[talk.Reply]:
+        """The answer; None if the connection broke or nothing came in time: what was asked may have run."""
+        self._number += 1
+        number = self._number
+        future = self._waiting[number] = asyncio.get_running_loop().create_future()
+        if not self.link.say(talk.pack(number, what)):
+            self._waiting.pop(number, None)
+            return None
+        deadline = self.books.deadlines.set(wait, lambda: future.done() or future.set_result(None))
+        try:
+            return await future
+        finally:
+            deadline.cancel()
+            self._waiting.pop(number, None)
+
+    def close(self) -> None:
+        self.link.abort()
+
+
+async def call(books: Books, where: Address, cluster: str, name: str, keys: KeyFile) -> Optional[Call]:
+    """A connection to a member, both sides known; None if there is none to be had."""
+    def make() -> Link:
+        link = Link(books, lambda role: keys.now(), cluster, name, role="client", dials="member")
+        link.opened = lambda link: met.done() or met.set_result(True)
+        link.closed = lambda link: met.done() or met.set_result(False)
+        return link
+    met = asyncio.get_running_loop().create_future()
+    link = await connect(books, make, where)
+    if isinstance(link, Failure):
+        return None
+    return Call(books, link) if await met else None
+
+
+class AgreedClient:
+    """Goes from member to member until one answers; `members` are addresses by name, as the asker reaches them."""
+
+    def __init__(self, books: Books, members: dict[str, Address], cluster: str, name: str, keys: KeyFile) -> None:
+        self.books, self.members, self.cluster, self.name, self.keys = books, members, cluster, name, keys
+        self._call: Optional[Call] = None
+        self._at = ""
+        self.session, self.number = 0, 0
+        self.tries = 0
+
+    def close(self) -> None:
+        if self._call is not None:
+            self._call.close()
+            self._call = None
+
+    async def _reach(self, hint: str = "") -> Optional[Call]:
+        """The connection in use, or another: to who is said to lead, else to any."""
+        if hint and hint != self._at and hint in self.members:
+            self.close()
+            self._at = hint
+        if self._call is None or self._call.link.lost:
+            if not hint:
+                self._at = self.books.dice.choice(sorted(self.members))
+            self._call = await call(self.books, self.members[self._at], self.cluster, self.name, self.keys)
+        return self._call
+
+    async def ask(self, what: talk.Ask, until: float) -> Optional[talk.Reply]:
+        """An answer from who can give it, by `until` (ms, the books' clock); None if none came.
+
+        What took no effect, or takes it once however often it is sent, is sent again.
+        """
+        hint, failed, last = "", 0, None
+        while self.books.now < until:
+            self.tries += 1
+            link = await self._reach(hint)
+            wait = max(until - self.books.now, 1.0)
+            reply = await link.ask(what, min(wait, ANSWER_WAIT)) if link is not None else None
+            if reply is not None and not (isinstance(reply, Sorry) and reply.why in _ELSEWHERE):
+                return reply
+            last, failed = reply or last, failed + 1
+            hint = reply.leader if isinstance(reply, Sorry) and reply.why == "not_leader" else ""
+            if reply is None or not hint:
+                self.close()
+            if failed > 1 or not hint:
+                await self.books.pause(min(ASIDE[0] * failed, ASIDE[1]) * (0.5 + self.books.dice.random()))
+        return last
+
+    async def propose(self, document: dict[str, Any], on: int, author: str, at: float, until: float
+                      ) -> Union[Accepted, Outdated, Unusable, Sorry, None]:
+        """Proposes a document in place of version `on`; takes effect once, however often it is sent."""
+        if not self.session:
+            opened = await self.ask(talk.Begin(self.books.dice.randbytes(8)), until)
+            if not isinstance(opened, Opened):
+                return opened
+            self.session, self.number = opened.session, 0
+        self.number += 1
+        body = msgspec.msgpack.encode(document)
+        return await self.ask(Propose(self.session, self.number, on, at, author, body), until)
+
+
+_ELSEWHERE = {"not_leader", "catching up", "nobody leads who could say", "no answer in time", "its fate is unknown",
+              "another entry took its place", "busy", "changing", "not_ready", "no majority"}
--- /dev/null
+++ b/lifthinge/cluster/disk.py
@@ -0,0 +1,165 @@
+"""A member's disk: the protocol's writes as records of the store, many to one sync, off the loop.
+
+>>> import tempfile
+>>> from lifthinge.raft.messages import Entry, Kind
+>>> files = Files(Path(tempfile.mkdtemp()))
+>>> disk = open_disk(files)
+>>> disk.carry_out([Write(1, 3, "b", voting=True, entries=[Entry(1, 3, Kind.COMMAND, b"x")])]); disk.store.close()
+>>> disk = open_disk(files); disk.image.saved().voted, disk.image.saved().entries
+('b', (Entry(index=1, term=3, kind=<Kind.COMMAND: 1>, data=b'x'),))
+>>> disk.carry_out([Write(1, 3, "b", snapshot=Snapshot(1, 3, data=b"s"))]); disk.store.close()
+>>> disk = open_disk(files); disk.image.snapshot.data, disk.image.entries, disk.image.term
+(b's', [], 3)
+>>> disk.store.close()
+"""
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Callable, Iterable, Union
+
+import msgspec
+
+from lifthinge.raft.image import Image
+from lifthinge.raft.messages import Entry, Roster, Snapshot
+from lifthinge.raft.node import Write
+from lifthinge.store.files import Files
+from lifthinge.store.store import Damage, Store
+
+VOTE, CUT, ENTRY, BEGIN = 1, 2, 3, 4      # kinds of records
+
+
+class _Vote(msgspec.Struct, array_like=True):
+    term: int
+    voted: Union[str, None]
+
+
+class Cluster(msgspec.Struct, array_like=True):
+    """What a folder is for, written when it is begun: it is never taken for another's."""
+    cluster: str
+    member: str
+    roster: Roster
+
+
+_vote, _entry = msgspec.msgpack.Decoder(_Vote), msgspec.msgpack.Decoder(Entry)
+_snapshot, _cluster = msgspec.msgpack.Decoder(tuple[Union[Cluster, None], Snapshot]), msgspec.msgpack.Decoder(Cluster)
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Disk:
+    """The store, and in memory what it holds; used by one thread at a time."""
+
+    def __init__(self, store: Store, image: Image, cluster: Union[Cluster, None]) -> None:
+        self.store, self.image, self.cluster = store, image, cluster
+
+    def begin(self, cluster: Cluster) -> None:
+        """A new folder learns whose it is."""
+        self.cluster, self.image.roster = cluster, cluster.roster
+        self.store.append(BEGIN, _encode(cluster))
+        self.store.sync()
+
+    def carry_out(self, writes: Iterable[Write]) -> None:
+        """Makes writes durable, in their order; an `OSError` leaves the disk unusable."""
+        due = False
+        for write in writes:
+            if write.snapshot is None:
+                self._append(write)
+            else:
+                if write.voting or write.entries or write.cut is not None:
+                    self._append(write)     # what the snapshot supersedes is told first, and dropped with it
+                self.image.take(write)
+                kept = [(VOTE, _encode(_Vote(self.image.term, self.image.voted)))]
+                kept += [(ENTRY, _encode(one)) for one in self.image.entries]
+                self.store.save(_encode((self.cluster, write.snapshot)), kept)
+            due = due or write.snapshot is None
+        if due:
+            self.store.sync()
+
+    def _append(self, write: Write) -> None:
+        if write.voting:
+            self.store.append(VOTE, _encode(_Vote(write.term, write.voted)))
+        if write.cut is not None:
+            self.store.append(CUT, _encode(write.cut))
+        if write.snapshot is not None:
+            return
+        for one in write.entries:
+            self.store.append(ENTRY, _encode(one))
+        self.image.take(write)
+
+
+def open_disk(files: Files) -> Union[Disk, Damage]:
+    """A folder as the protocol needs it; damage is told, never mended by guessing."""
+    store = Store.open(files)
+    if isinstance(store, Damage):
+        return store
+    read = replay(store.snapshot, store.found)
+    store.found = []
+    if isinstance(read, Damage):
+        store.close()
+        return read
+    return Disk(store, *read)
+
+
+def replay(snapshot: Union[bytes, None], records: Iterable[tuple[int, bytes]]
+           ) -> Union[tuple[Image, Union[Cluster, None]], Damage]:
+    """What a snapshot and the records after it come to."""
+    image, cluster, place = Image(), None, 0
+    try:
+        if snapshot is not None:
+            cluster, image.snapshot = _snapshot.decode(snapshot)
+        for place, (kind, data) in enumerate(records):
+            if kind == VOTE:
+                vote = _vote.decode(data)
+                image.vote(vote.term, vote.voted)
+            elif kind == CUT:
+                image.cut(msgspec.msgpack.decode(data, type=int))
+            elif kind == ENTRY:
+                image.entry(_entry.decode(data))
+            elif kind == BEGIN:
+                cluster = _cluster.decode(data)
+            else:
+                return Damage("log", place, f"record {place} is of the unknown kind {kind}")
+    except (msgspec.ValidationError, msgspec.DecodeError, ValueError) as error:
+        return Damage("log", place, f"record {place}: {error}")
+    if cluster is not None:
+        image.roster = cluster.roster
+    return image, cluster
+
+
+class Committer:
+    """Carries out writes on a thread of its own: what comes while a sync is under way goes with the next one."""
+
+    def __init__(self, disk: Disk, done: Callable[[int], None], failed: Callable[[Exception], None]) -> None:
+        self.disk, self._done, self._failed = disk, done, failed
+        self._waiting: list[Write] = []
+        self._busy = self._closed = False
+        self._thread = ThreadPoolExecutor(1, "store")
+        self.batches = self.writes = 0
+
+    def give(self, writes: list[Write]) -> None:
+        self._waiting += writes
+        self._start()
+
+    def _start(self) -> None:
+        if self._busy or self._closed or not self._waiting:
+            return
+        batch, self._waiting, self._busy = self._waiting, [], True
+        self.batches, self.writes = self.batches + 1, self.writes + len(batch)
+        future = asyncio.get_running_loop().run_in_executor(self._thread, self.disk.carry_out, batch)
+        future.add_done_callback(lambda future: self._ended(future, batch[-1].number))
+
+    def _ended(self, future: asyncio.Future, number: int) -> None:
+        self._busy = False
+        if future.cancelled() or self._closed:
+            return
+        if error := future.exception():
+            self._closed = True
+            self._failed(error)
+            return
+        self._done(number)
+        self._start()
+
+    def close(self) -> None:
+        """Lets what is under way end, then gives the folder back."""
+        self._closed = True
+        self._thread.shutdown(wait=True)
+        self.disk.store.close()
--- /dev/null
+++ b/lifthinge/cluster/follower.py
@@ -0,0 +1,79 @@
+"""A front end's or controller's side: follows the agreed document from whichever member is current, and never goes back."""
+import asyncio
+import logging
+from typing import Callable, Optional
+
+from lifthinge.agreed.state import Fence
+from lifthinge.cluster import talk
+from lifthinge.cluster.client import Call, call
+from lifthinge.cluster.keys import KeyFile
+from lifthinge.memory.books import Books
+
+log = logging.getLogger(__name__)
+ANSWER_WAIT = 1_500.0       # ms until a member that says nothing is left for another
+LOOK_EVERY = 2_000.0        # ms between questions whether the member is still current
+ASIDE = 100.0, 1_000.0      # ms until the next member is tried
+TOLD_MOST = 64              # documents not yet taken in; the latest of them counts
+
+
+class AgreedFollower:
+    """`told` is called with each document that may be obeyed, in their order."""
+
+    def __init__(self, books: Books, members: dict[str, tuple[str, int]], cluster: str, name: str, keys: KeyFile,
+                 told: Callable[[talk.Shown], None]) -> None:
+        self.books, self.members, self.cluster, self.name, self.keys = books, members, cluster, name, keys
+        self.told, self.fence = told, Fence()
+        self.current = False        # a member that hears a majority vouches for what is held
+        self._call: Optional[Call] = None
+
+    async def run(self) -> None:
+        """Follows for good: from one member until it is no longer current, then from another."""
+        names, place = sorted(self.members), self.books.dice.randrange(len(self.members))
+        while True:
+            place += 1
+            self._call = await call(self.books, self.members[names[place % len(names)]], self.cluster, self.name,
+                                    self.keys)
+            if self._call is not None:
+                await self._follow(self._call)
+                self._call.close()
+            if self.current:
+                self.books.notices.note("agreed_lost", member=names[place % len(names)], version_held=self.fence.held[1])
+            self.current = False
+            await self.books.pause(self.books.dice.uniform(*ASIDE))
+
+    async def _follow(self, link: Call) -> None:
+        link.told = asyncio.Queue(TOLD_MOST)
+        reply = await link.ask(talk.Follow(self.fence.held), ANSWER_WAIT)
+        if not isinstance(reply, talk.Shown):
+            self.books.counters.add("agreed.turned_away")
+            return
+        self.current = True
+        self._take(reply)
+        look = asyncio.get_running_loop().create_task(self._look(link))
+        try:
+            while isinstance(reply := await link.told.get(), talk.Shown):
+                self._take(reply)
+        finally:
+            look.cancel()
+
+    async def _look(self, link: Call) -> None:
+        """Ends the connection once the member does not answer, or hears no majority itself."""
+        while True:
+            await self.books.pause(LOOK_EVERY)
+            report = await link.ask(talk.Status(), ANSWER_WAIT)
+            if not isinstance(report, talk.Report) or not report.ready or not report.in_touch:
+                link.close()
+                return
+
+    def _take(self, one: talk.Shown) -> None:
+        if not one.version:
+            return
+        if self.fence.admit(one.term, one.index):
+            self.books.counters.add("agreed.taken")
+            self.told(one)
+        else:
+            self.books.counters.add("agreed.fenced")
+
+    def close(self) -> None:
+        if self._call is not None:
+            self._call.close()
--- /dev/null
+++ b/lifthinge/cluster/member.py
@@ -0,0 +1,463 @@
+"""A member of the cluster on sockets: drives the protocol, the disk and the agreed state, and answers clients."""
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Any, Callable, Optional, Union
+
+import msgspec
+
+from lifthinge.agreed.commands import OpenSession, Propose, pack as pack_command
+from lifthinge.agreed.document import Fault, read_document
+from lifthinge.agreed.state import BODY_MOST, Agreed
+from lifthinge.cluster import talk
+from lifthinge.cluster.disk import Committer, Disk
+from lifthinge.cluster.keys import Keys
+from lifthinge.cluster.link import Link
+from lifthinge.cluster.talk import Sorry
+from lifthinge.memory.attempts import Failure
+from lifthinge.memory.books import Books
+from lifthinge.raft import messages
+from lifthinge.raft.messages import Entry, Kind, Snapshot
+from lifthinge.raft.node import Pace, Raft, Refused, Role, Why
+from lifthinge.wire.connection import connect
+
+log = logging.getLogger(__name__)
+Address = tuple[str, int]
+
+REDIAL = 100.0, 1_000.0         # ms until a member that can't be reached is tried again
+ASK_WAIT = 8_000.0              # ms until a client hears that the fate of its proposal is unknown
+READ_WAIT = 3_000.0             # ms that a read may wait for a round and for what is to be applied
+TOUCH_LEAST = 2.0               # election time-outs without a majority: then it says so
+CLIENTS_MOST, ASKS_MOST, ASKS_EACH = 2_000, 8_192, 512
+SNAPSHOT_ENTRIES, SNAPSHOT_BYTES = 20_000, 16 << 20     # of the log behind the last snapshot: time for another
+HISTORY_PAGE = 200
+CATCH_UP_EVERY = 200.0          # ms between a fresh member's questions to the leader
+
+
+@dataclass(frozen=True)
+class Seat:
+    """Which member this is, of which cluster."""
+    cluster: str
+    name: str
+    listen: Address
+    pace: Pace
+    keys: Callable[[str], Keys]
+
+
+@dataclass(eq=False, slots=True)
+class _Ask:
+    """A client's question under way."""
+    link: Link
+    number: int
+    deadline: Any = None
+    term: int = 0
+    sent: bool = False      # it is in the log
+
+
+class MemberServer:
+    """Owns one member; `fatal` is called with the reason once it can't go on."""
+
+    def __init__(self, seat: Seat, books: Books, disk: Disk, fatal: Callable[[str], None]) -> None:
+        self.seat, self.books, self.fatal = seat, books, fatal
+        self.raft = Raft(seat.name, books.dice, books.now, disk.image.saved(), seat.pace)
+        self.state = Agreed()
+        self.committer = Committer(disk, self._durable, lambda error: self._fail(f"disk: {error}"))
+        self.ready = False          # it has applied what was committed when it first asked
+        self.in_touch = True
+        self.removed = False
+        self._in: dict[Link, None] = {}
+        self._out: dict[str, Link] = {}             # by member: the link that we dialled
+        self._from: dict[str, Link] = {}            # by member: the latest that it dialled
+        self._dialling: set[str] = set()
+        self._dial_wait: dict[str, float] = {}
+        self._followers: dict[Link, int] = {}       # front ends: the number of their question
+        self._each: dict[Link, int] = {}
+        self._proposed: dict[int, list[_Ask]] = {}  # by index
+        self._reads: dict[_Ask, talk.Show] = {}
+        self._to_apply: list[tuple[int, object]] = []       # reads that wait until this index is applied
+        self._turn_due = self._over = False
+        self._tick: Any = None
+        self._server: Optional[asyncio.Server] = None
+        self._tasks: set[asyncio.Task] = set()
+        self._catching_up = False
+        self._role = Role.FOLLOWER
+        self._told = 0              # index of the version that front ends were told last
+
+    async def start(self) -> None:
+        self._server = await asyncio.get_running_loop().create_server(self._accept, *self.seat.listen, backlog=512)
+        self._turn()
+        self._catch_up()
+
+    @property
+    def where(self) -> Address:
+        return self._server.sockets[0].getsockname()[:2]
+
+    async def stop(self) -> None:
+        """Takes nothing more; what is being written is written to its end."""
+        self._over = True
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for link in [*self._in, *self._out.values()]:
+            link.abort()
+        await asyncio.get_running_loop().run_in_executor(None, self.committer.close)
+
+    def _fail(self, why: str) -> None:
+        """What can't be written can't be promised: the member stops, and the others go on."""
+        if not self._over:
+            self._over = True
+            log.error("member_failed", {"why": why})
+            self.fatal(why)
+
+    # Turns.
+
+    def _wake(self) -> None:
+        """One turn after this pass of the loop: what has come by then goes together."""
+        if not self._turn_due and not self._over:
+            self._turn_due = True
+            asyncio.get_running_loop().call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._turn_due = False
+        if self._over:
+            return
+        out = self.raft.take()
+        for to, message in out.sends:
+            self._say(to, message)
+        if out.writes:
+            self.committer.give(out.writes)
+        for one in out.applied:
+            self._apply(one)
+        for token, index in out.reads:
+            self._to_apply.append((index, token))
+        if self._to_apply:
+            self._press_reads()
+        if out.applied:
+            self._tell_followers()
+            self._compact()
+        self._note_role()
+        self._arm()
+
+    def _arm(self) -> None:
+        due = min(self.raft.due, self.books.now + self.seat.pace.election)
+        if self._tick is None or not self._tick.pending or due < self._tick.at - 1 or due > self._tick.at + 1:
+            if self._tick is not None:
+                self._tick.cancel()
+            self._tick = self.books.deadlines.set(due - self.books.now, self._ticked)
+
+    def _ticked(self) -> None:
+        if self._over:
+            return
+        self.raft.tick(self.books.now)
+        self._note_touch()
+        self._turn()
+
+    def _durable(self, number: int) -> None:
+        if not self._over:
+            self.raft.durable(number)
+            self._turn()
+
+    def _note_role(self) -> None:
+        if self.raft.role is not self._role and Role.LEADER in (self.raft.role, self._role):
+            log.info("leads" if self.raft.role is Role.LEADER else "leads_no_more", {"term": self.raft.term})
+        self._role = self.raft.role
+        roster = self.raft.log.roster
+        if roster.members and not roster.get(self.seat.name) and self.raft.commit >= self.raft.log.roster_index:
+            if not self.removed:
+                log.warning("removed", {"member": self.seat.name})
+            self.removed = True
+        else:
+            self.removed = False
+
+    def _note_touch(self) -> None:
+        touch = self.raft.in_touch(self.books.now, TOUCH_LEAST * self.seat.pace.election)
+        if touch != self.in_touch:
+            self.in_touch = touch
+            log.log(logging.INFO if touch else logging.WARNING, "in_touch" if touch else "no_majority",
+                    {"version": self.state.version, "term": self.raft.term})
+
+    # Applying.
+
+    def _apply(self, one: Union[Entry, Snapshot]) -> None:
+        if isinstance(one, Snapshot):
+            if one.data:
+                self.state.restore(one.data)
+            else:
+                self.state.passed(one.index, one.term)
+            for index in [index for index in self._proposed if index <= one.index]:
+                for ask in self._proposed.pop(index):
+                    self._answer(ask, Sorry("its fate is unknown", may_have_run=True, **self._leader()))
+            return
+        if one.kind is Kind.COMMAND:
+            answer = self.state.apply(one.index, one.term, one.data)
+        else:
+            self.state.passed(one.index, one.term)
+            answer = talk.Done(one.index)
+        for ask in self._proposed.pop(one.index, ()):
+            self._answer(ask, answer if ask.term == one.term else Sorry("another entry took its place",
+                                                                       **self._leader()))
+
+    def _compact(self) -> None:
+        behind = self.state.index - self.raft.log.snapshot.index
+        if behind < SNAPSHOT_ENTRIES and (behind < 100 or self._log_bytes() < SNAPSHOT_BYTES):
+            return
+        if behind < 4 * SNAPSHOT_ENTRIES and self.raft.sending_snapshot:
+            return
+        if self.raft.compact(self.state.index, self.state.export()):
+            self.books.counters.add("member.snapshots")
+            self._wake()
+
+    def _log_bytes(self) -> int:
+        return self.raft.log.bytes_from(self.raft.log.snapshot.index + 1) if self.state.index % 64 == 0 else 0
+
+    def _press_reads(self) -> None:
+        waiting, self._to_apply = self._to_apply, []
+        for index, token in waiting:
+            if 0 <= index and index > self.state.index:
+                self._to_apply.append((index, token))
+            elif token == "catch-up":
+                self._caught_up(index)
+            else:
+                self._read_done(token, index)
+
+    def _read_done(self, ask: _Ask, index: int) -> None:
+        show = self._reads.pop(ask, None)
+        if show is None:
+            return
+        if index < 0:
+            self._answer(ask, Sorry("nobody leads who could say", **self._leader()))
+        elif type(show) is talk.History:
+            later = [one for one in self.state.versions if one.version >= show.since]
+            self._answer(ask, talk.Versions(tuple(talk.shown(one, body=False) for one in later[:HISTORY_PAGE])))
+        elif show.version is None:
+            self._answer(ask, talk.shown(self.state.latest))
+        else:
+            found = next((one for one in self.state.versions if one.version == show.version), None)
+            self._answer(ask, talk.shown(found) if found else Sorry(f"version {show.version} is not kept"))
+
+    # Catching up after a start.
+
+    def _catch_up(self) -> None:
+        if self.ready or self._over:
+            return
+        if not self._catching_up and not isinstance(self.raft.read("catch-up", self.books.now), Refused):
+            self._catching_up = True
+            self.books.deadlines.set(READ_WAIT, self._catch_up_late)
+            self._wake()
+        self.books.deadlines.set(CATCH_UP_EVERY, self._catch_up)
+
+    def _catch_up_late(self) -> None:
+        if self._catching_up:
+            self.raft.give_up("catch-up")
+            self._catching_up = False
+
+    def _caught_up(self, index: int) -> None:
+        self._catching_up = False
+        if index >= 0 and not self.ready:
+            self.ready = True
+            log.info("caught_up", {"index": index, "version": self.state.version, "term": self.raft.term})
+            self._tell_followers()
+
+    # Members.
+
+    def _say(self, to: str, message: messages.Message) -> None:
+        link = self._out.get(to)
+        if link is None and to in self._from and self.raft.log.roster.get(to) is None:
+            link = self._from[to]       # a newcomer knows nobody's address yet: it answers where it was asked
+        if link is not None and not link.lost:
+            if link.say(messages.encode(message)):
+                self.books.counters.add("member.sent")
+            else:
+                self.books.counters.add("member.unsent")
+        elif to not in self._dialling and self.books.now >= self._dial_wait.get(to, 0.0):
+            self._dialling.add(to)
+            task = asyncio.get_running_loop().create_task(self._dial(to))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, to: str) -> None:
+        member = self.raft.log.roster.get(to) or next(
+            (one for _, roster in self.raft.log.rosters for one in roster.members if one.name == to), None)
+        try:
+            address = member.address.rsplit(":", 1) if member else None
+            found = await connect(self.books, lambda: self._link(dials=to), (address[0], int(address[1]))
+                                  ) if address else None
+            if found is None or isinstance(found, Failure):
+                self.books.counters.add("member.unreachable")
+                self._redial_later(to)
+        except (ValueError, IndexError):
+            self.books.notices.note("member_address_bad", member=to)
+            self._redial_later(to)
+
+    def _redial_later(self, to: str) -> None:
+        self._dialling.discard(to)
+        self._dial_wait[to] = self.books.now + self.books.dice.uniform(*REDIAL)
+
+    def _link(self, dials: str = "") -> Link:
+        link = Link(self.books, self.seat.keys, self.seat.cluster, self.seat.name, dials=dials, expects=dials)
+        link.opened, link.heard, link.closed = self._opened, self._heard, self._closed
+        return link
+
+    def _accept(self) -> Link:
+        link = self._link()
+        if len(self._in) >= CLIENTS_MOST:
+            self.books.notices.note("member_full")
+            asyncio.get_running_loop().call_soon(link.abort)
+        self._in[link] = None
+        return link
+
+    def _opened(self, link: Link) -> None:
+        if link.dials:
+            self._out[link.dials] = link
+            self._dialling.discard(link.dials)
+            self.books.counters.add("member.links")
+        elif link.other.role == "member":
+            self._from[link.other.sender] = link
+
+    def _closed(self, link: Link) -> None:
+        self._in.pop(link, None)
+        self._followers.pop(link, None)
+        self._each.pop(link, None)
+        if link.other is not None and self._from.get(link.other.sender) is link:
+            del self._from[link.other.sender]
+        if link.dials and self._out.get(link.dials, link) is link:
+            self._out.pop(link.dials, None)
+            self._redial_later(link.dials)
+
+    def _heard(self, link: Link, body: bytes) -> None:
+        if self._over:
+            return
+        try:
+            if link.other.role == "client":
+                number, ask = talk.read_ask(body)
+            else:
+                message = messages.decode(body)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            self.books.notices.note("member_bad_message", peer=link.other.sender, why=str(error))
+            link.abort()
+            return
+        if link.other.role == "client":
+            self._asked(link, number, ask)
+        else:
+            try:
+                self.raft.step(link.other.sender, message, self.books.now)
+            except AssertionError as error:     # a promise of the protocol is broken: nothing may build on it
+                self._fail(f"protocol: {error}")
+                return
+        self._wake()
+
+    # Clients.
+
+    def _leader(self) -> dict[str, str]:
+        name = self.raft.leader or ""
+        member = self.raft.log.roster.get(name)
+        return {"leader": name, "address": member.address if member else ""}
+
+    def _asked(self, link: Link, number: int, what: talk.Ask) -> None:
+        ask = _Ask(link, number)
+        if type(what) is talk.Status:
+            link.say(talk.pack(number, self._report()))
+            return
+        if self._each.get(link, 0) >= ASKS_EACH or sum(self._each.values()) >= ASKS_MOST:
+            self.books.counters.add("member.busy")
+            link.say(talk.pack(number, Sorry(Why.BUSY.value, **self._leader())))
+            return
+        if type(what) is talk.Follow:
+            self._follow(ask, what)
+            return
+        if not self.ready:
+            link.say(talk.pack(number, Sorry("catching up", **self._leader())))
+            return
+        self._each[link] = self._each.get(link, 0) + 1
+        ask.deadline = self.books.deadlines.set(
+            READ_WAIT if type(what) in (talk.Show, talk.History) else ASK_WAIT, lambda: self._given_up(ask))
+        if type(what) in (talk.Show, talk.History):
+            self._reads[ask] = what
+            self._settle(ask, self.raft.read(ask, self.books.now))
+        elif type(what) is talk.HandOver:
+            refused = self.raft.hand_over(what.target, self.books.now)
+            self._settle(ask, refused) if refused else self._answer(ask, talk.Done(self.raft.commit))
+        elif type(what) is talk.Change:
+            self._settle(ask, self.raft.change(what.name, what.address, self.books.now))
+        elif type(what) is talk.Begin:
+            self._settle(ask, self.raft.propose(pack_command(OpenSession(what.nonce)), self.books.now))
+        else:
+            self._propose(ask, what)
+
+    def _propose(self, ask: _Ask, what: Propose) -> None:
+        """Only a document that can be used goes to the log."""
+        try:
+            found = read_document(msgspec.msgpack.decode(what.body)) if len(what.body) <= BODY_MOST else Fault(
+                "document", "too large")
+        except (msgspec.DecodeError, RecursionError) as error:
+            found = Fault("document", str(error))
+        if isinstance(found, Fault):
+            self._answer(ask, Sorry(f"{found.key}: {found.why}", **self._leader()))
+        else:
+            self._settle(ask, self.raft.propose(pack_command(what), self.books.now))
+
+    def _settle(self, ask: _Ask, came: Union[int, Refused, None]) -> None:
+        """What the protocol made of an ask: an index to wait for, a refusal, or (a read) nothing yet."""
+        if isinstance(came, Refused):
+            self._reads.pop(ask, None)
+            self._answer(ask, Sorry(came.why.value, **self._leader()))
+        elif came is not None:
+            ask.term, ask.sent = self.raft.term, True
+            self._proposed.setdefault(came, []).append(ask)
+
+    def _given_up(self, ask: _Ask) -> None:
+        if self._reads.pop(ask, None) is not None:
+            self.raft.give_up(ask)
+        self._proposed = {index: left for index, asks in self._proposed.items()
+                          if (left := [one for one in asks if one is not ask])}
+        self._to_apply = [one for one in self._to_apply if one[1] is not ask]
+        self.books.counters.add("member.given_up")
+        self._answer(ask, Sorry("no answer in time", may_have_run=ask.sent, **self._leader()))
+
+    def _answer(self, ask: _Ask, reply: talk.Reply) -> None:
+        if ask.deadline is not None:
+            ask.deadline.cancel()
+            ask.deadline = None
+            if self._each.get(ask.link, 0) > 0:
+                self._each[ask.link] -= 1
+        self.books.counters.add(f"member.answers.{type(reply).__name__}")
+        ask.link.say(talk.pack(ask.number, reply))
+
+    # Front ends.
+
+    def _follow(self, ask: _Ask, what: talk.Follow) -> None:
+        """A front end is taken on by a member that is current; it never hears an older document than it holds."""
+        latest = self.state.latest
+        if not self.ready or not self.in_touch or self.removed:
+            ask.link.say(talk.pack(ask.number, Sorry("no majority" if self.ready else "catching up",
+                                                     **self._leader())))
+        elif latest is not None and (latest.term, latest.index) < what.held:
+            ask.link.say(talk.pack(ask.number, Sorry("behind what you hold", **self._leader())))
+        else:
+            self._followers[ask.link] = ask.number
+            ask.link.say(talk.pack(ask.number, talk.shown(latest)))
+
+    def _tell_followers(self) -> None:
+        latest = self.state.latest
+        if latest is None or latest.index <= self._told:
+            return
+        self._told = latest.index
+        reply = talk.shown(latest)
+        for link, number in list(self._followers.items()):
+            if not link.say(talk.pack(number, reply)):
+                link.abort()        # too slow for its own good: it asks anew, and hears the latest
+
+    def _report(self) -> talk.Report:
+        raft, now = self.raft, self.books.now
+        views = []
+        for one in raft.log.roster.members:
+            seen = raft.progress.get(one.name)
+            views.append(talk.MemberView(one.name, one.address, one.votes, seen.match if seen else -1,
+                                         now - seen.heard_at if seen else -1.0))
+        return talk.Report(
+            self.seat.name, raft.role.name.lower(), raft.term, raft.leader or "", raft.commit, raft.log.last_index,
+            raft.log.snapshot.index, self.state.version, self.state.digest, self.ready, self.in_touch, tuple(views),
+            {"elections": raft.elections, "stepped_down": raft.stepped_down, "syncs": self.committer.disk.store.syncs,
+             "batches": self.committer.batches, "writes": self.committer.writes,
+             "followers": len(self._followers), "asks": sum(self._each.values())})
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -79,6 +79,8 @@
     name: str
     zone: int = 0
     phase: Phase = Phase.GONE
+    listed: Phase = Phase.GONE                 # as discovery says; `phase` is draining if it is out by hand, too
+    told_size: float = 1.0
     started: float = 0.0
     size: float = 1.0
     # working memory
@@ -244,7 +246,19 @@
         return not self.free and not self.unknown
 
 
-Event = Union[FleetNews, TimerDue, ProbeResult, PeerNote, ProxyJoined, ProxyLeft, TriesReport, ProxyLoad,
+@dataclass(slots=True)
+class ByHand:
+    """What the operators agreed on, in place of what they had: it stands until the next such event.
+
+    Who is out of service is as good as draining; a zone's backends are given that share of their usual work; a
+    method is worth what is said here, else what the site's terms say.
+    """
+    out: list[Backend]
+    shares: dict[int, float]
+    criticality: dict[int, float]
+
+
+Event = Union[ByHand, FleetNews, TimerDue, ProbeResult, PeerNote, ProxyJoined, ProxyLeft, TriesReport, ProxyLoad,
               SliceHeat, Leased, StoredLine, SealConfirmed, ChannelState]
 
 
--- /dev/null
+++ b/lifthinge/raft/node.py
@@ -0,0 +1,728 @@
+"""One member's part in the protocol: it only steps; who drives it owns disk, network and clock.
+
+A driver hands over what came (`step`), the time (`tick`, no later than `due`), what clients want (`propose`, `read`,
+`change`, `transfer`), then takes what is to be done (`take`): messages to send now, writes to make durable in
+their order, entries to apply. Once writes are durable it says so (`durable`); what must not be said before is held
+back until then. Nothing here reads a clock, a file or the network. Times are float milliseconds.
+
+The steps are those of Ongaro and Ousterhout (2014), figure 2, with pre-vote, check of quorum, leader transfer,
+ReadIndex and one-server changes of Ongaro's dissertation (2014). The methods `_may_commit`, `_is_current`,
+`_conflict`, `_change_blocked`, `_save_vote` and `_confirmed` each hold one rule on which safety rests.
+
+>>> from random import Random
+>>> alone = Raft("a", Random(7), 0.0, Saved(roster=Roster((Member("a", "127.0.0.1:1"),))))
+>>> alone.tick(alone.due); out = alone.take(); out.writes[-1].term, out.writes[-1].voted, alone.role.name
+(1, 'a', 'CANDIDATE')
+>>> alone.durable(out.writes[-1].number); alone.role.name, alone.propose(b"x", 500.0)
+('LEADER', 2)
+>>> out = alone.take(); [one.index for one in out.writes[-1].entries], out.applied
+([1, 2], [])
+>>> alone.durable(out.writes[-1].number); [one.data for one in alone.take().applied]
+[b'', b'x']
+"""
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from random import Random
+from typing import Optional, Union
+
+from blake3 import blake3
+
+from lifthinge.raft.log import ENTRY_COST, Log
+from lifthinge.raft.messages import (
+    AppendEntries, AppendReply, Entry, InstallSnapshot, Kind, Member, Message, ReadIndex, ReadReply,
+    RequestVote, Roster, Snapshot, SnapshotReply, TimeoutNow, Vote, encode)
+from lifthinge.raft.progress import Mode, Progress
+
+NEVER = float("inf")
+RECHECK_PART = 0.5      # of the election time-out: when what is under way counts as lost
+KEEP_ENTRIES = 5_000    # before the snapshot, for who lags a little
+SNAPSHOT_MOST = 64 << 20
+
+
+class Role(Enum):
+    FOLLOWER = auto()
+    PRE_CANDIDATE = auto()
+    CANDIDATE = auto()
+    LEADER = auto()
+
+
+class Why(Enum):
+    """Why something was refused."""
+    NOT_LEADER = "not_leader"
+    BUSY = "busy"               # a bound is reached
+    TOO_LARGE = "too_large"
+    NOT_READY = "not_ready"     # nothing of this term is committed yet
+    CHANGING = "changing"       # another change of members, or a transfer, is under way
+    UNKNOWN_MEMBER = "unknown_member"
+    KNOWN_MEMBER = "known_member"
+    LAST_VOTER = "last_voter"
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Refused at once: why, and who leads as far as is known."""
+    why: Why
+    leader: Optional[str] = None
+
+
+@dataclass(frozen=True)
+class Pace:
+    """The protocol's times (ms) and bounds."""
+    election: float = 1_000.0       # the shortest time without a leader; the longest is twice that
+    beat: float = 100.0             # between a leader's rounds
+    append_bytes: int = 256 << 10   # of one append
+    chunk_bytes: int = 256 << 10    # of a snapshot
+    pending_entries: int = 4_096    # proposed and not committed
+    pending_bytes: int = 8 << 20
+    entry_most: int = 1 << 20
+    reads_most: int = 4_096         # that wait for a round
+
+
+@dataclass(frozen=True)
+class Saved:
+    """What a member finds on its disk at the start; a new cluster's first members begin with a roster."""
+    term: int = 0
+    voted: Optional[str] = None
+    snapshot: Snapshot = Snapshot()
+    entries: tuple[Entry, ...] = ()
+    roster: Roster = Roster()
+
+
+@dataclass(slots=True)
+class Write:
+    """To be made durable, after all that came before: term and vote, then snapshot, cut and entries."""
+    number: int
+    term: int
+    voted: Optional[str]
+    voting: bool = False        # term or vote changed
+    snapshot: Optional[Snapshot] = None
+    cut: Optional[int] = None   # entries from here on are void
+    entries: list[Entry] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Out:
+    sends: list[tuple[str, Message]] = field(default_factory=list)
+    writes: list[Write] = field(default_factory=list)
+    applied: list[Union[Entry, Snapshot]] = field(default_factory=list)
+    reads: list[tuple[object, int]] = field(default_factory=list)   # token, index to be applied first; -1: no
+
+
+@dataclass(slots=True)
+class _Read:
+    token: object
+    index: int
+    beat: int
+
+
+def mark_of(data: bytes) -> bytes:
+    """The digest by which a snapshot is told from others."""
+    return blake3(data).digest(length=16)
+
+
+class Raft:
+    """One member."""
+
+    def __init__(self, name: str, dice: Random, now: float, saved: Saved, pace: Pace = Pace()) -> None:
+        self.name, self.dice, self.pace, self.now = name, dice, pace, now
+        self.term, self.voted = saved.term, saved.voted
+        first = saved.snapshot if saved.snapshot.index else Snapshot(0, 0, saved.roster)
+        self.log = Log(first, saved.entries)
+        self.role, self.leader = Role.FOLLOWER, None
+        self.leader_at = float("-inf")      # when the leader was last heard
+        self.commit = self.applied = self.log.snapshot.index
+        self.durable_index, self.saved_term = self.log.last_index, saved.term
+        self.claim = 0                      # up to where the log is the leader's, durable or not
+        self.election_at = now + self._patience()
+        self.votes: dict[str, bool] = {}
+        self.progress: dict[str, Progress] = {}
+        self.beat, self.beat_at = 0, NEVER
+        self.term_start = 0                 # a leader's first entry
+        self.pending = [0, 0]               # entries and bytes proposed and not committed
+        self.reads: deque[_Read] = deque()
+        self.beat_wanted = False            # reads wait for a round that has not begun
+        self.asked: dict[int, object] = {}  # reads that went to the leader, by number
+        self.transfer: Optional[tuple[str, float]] = None
+        self.partial: Optional[tuple[InstallSnapshot, bytearray]] = None
+        self.elections = self.stepped_down = 0
+        self._out, self._write = Out(), None
+        self._number = self._durable = 0
+        self._under_way: deque[tuple[int, int, int, int]] = deque()     # write, last index, its term, term
+        self._held: deque[tuple[int, str, Message]] = deque()           # until this write is durable
+        if first.index:
+            self._out.applied.append(first)
+
+    # What a driver does.
+
+    @property
+    def due(self) -> float:
+        """When `tick` is wanted at the latest."""
+        if self.role is Role.LEADER:
+            return self.beat_at
+        return self.election_at if self._votes() else NEVER
+
+    def tick(self, now: float) -> None:
+        """Time has passed."""
+        self.now = max(self.now, now)
+        if self.role is Role.LEADER:
+            self._check_quorum()
+            if self.role is Role.LEADER and self.now >= self.beat_at:
+                self._begin_beat()
+        elif self.now >= self.election_at and self._votes():
+            self._campaign(pre=True)
+
+    def step(self, sender: str, message: Message, now: float) -> None:
+        """A message has come from another member."""
+        self.now = max(self.now, now)
+        kind = type(message)
+        if kind is RequestVote:
+            self._asked_for_vote(sender, message)
+            return
+        if message.term > self.term and not (kind is Vote and message.pre and message.granted):
+            self._follow(message.term, None)
+        {Vote: self._voted_for, AppendEntries: self._append, AppendReply: self._append_answered,
+         InstallSnapshot: self._install, SnapshotReply: self._chunk_answered, TimeoutNow: self._take_over,
+         ReadIndex: self._read_asked, ReadReply: self._read_answered}[kind](sender, message)
+
+    def propose(self, data: bytes, now: float) -> Union[int, Refused]:
+        """An entry for the state machine; its index, which counts only once it is applied in this term."""
+        self.now = max(self.now, now)
+        if self.role is not Role.LEADER:
+            return Refused(Why.NOT_LEADER, self.leader)
+        if self.transfer:
+            return Refused(Why.CHANGING, self.name)
+        if len(data) > self.pace.entry_most:
+            return Refused(Why.TOO_LARGE, self.name)
+        if self.pending[0] >= self.pace.pending_entries or self.pending[1] >= self.pace.pending_bytes:
+            return Refused(Why.BUSY, self.name)
+        return self._add(Kind.COMMAND, data)
+
+    def read(self, token: object, now: float) -> Optional[Refused]:
+        """Asks up to where all must be applied so that what is read is true now; `Out.reads` answers."""
+        self.now = max(self.now, now)
+        if len(self.reads) + len(self.asked) >= self.pace.reads_most:
+            return Refused(Why.BUSY, self.leader)
+        if self.role is Role.LEADER:
+            # Not before the own first entry: what former leaders committed lies below it.
+            self.reads.append(_Read(token, max(self.commit, self.term_start), self.beat + 1))
+            self.beat_wanted = True
+            return None
+        if self.leader is None:
+            return Refused(Why.NOT_LEADER)
+        number = self.dice.getrandbits(48)
+        self.asked[number] = token
+        self._send(self.leader, ReadIndex(self.term, number))
+        return None
+
+    def change(self, name: str, address: Optional[str], now: float) -> Union[int, Refused]:
+        """Adds a member, as a learner that gets its vote by itself once it has caught up; None removes one."""
+        self.now = max(self.now, now)
+        blocked, roster = self._change_blocked(), self.log.roster
+        if blocked:
+            return blocked
+        known = roster.get(name)
+        if address is None and known is None:
+            return Refused(Why.UNKNOWN_MEMBER, self.name)
+        if address is not None and known is not None:
+            return Refused(Why.KNOWN_MEMBER, self.name)
+        if address is None and roster.voters == (name,):
+            return Refused(Why.LAST_VOTER, self.name)
+        new = roster.without(name) if address is None else roster.with_member(Member(name, address, votes=False))
+        return self._add(Kind.ROSTER, encode(new))
+
+    def hand_over(self, target: str, now: float) -> Optional[Refused]:
+        """Lets another voter lead once it holds all; nothing is proposed meanwhile, one election's time at most."""
+        self.now = max(self.now, now)
+        if self.role is not Role.LEADER:
+            return Refused(Why.NOT_LEADER, self.leader)
+        if self.transfer:
+            return Refused(Why.CHANGING, self.name)
+        if target not in self.log.roster.voters or target == self.name:
+            return Refused(Why.UNKNOWN_MEMBER, self.name)
+        self.transfer = target, self.now + self.pace.election
+        self._press_transfer()
+        return None
+
+    def compact(self, index: int, data: bytes) -> Optional[Snapshot]:
+        """The state machine's state after the entry `index` stands for the log up to there."""
+        if not self.log.snapshot.index < index <= self.applied:
+            return None
+        snapshot = Snapshot(index, self.log.term_at(index), self.log.roster_at(index), data, mark_of(data))
+        self.log.compact(snapshot, KEEP_ENTRIES)
+        self._writing().snapshot = snapshot
+        return snapshot
+
+    def give_up(self, token: object) -> None:
+        """A read is no longer waited for."""
+        self.asked = {number: one for number, one in self.asked.items() if one != token}
+        self.reads = deque(read for read in self.reads if read.token != token)
+
+    @property
+    def sending_snapshot(self) -> bool:
+        """Whether a snapshot is on its way to a member: another would make it begin anew."""
+        return any(one.mode is Mode.SNAPSHOT and self.now - one.heard_at < self.pace.election
+                   for one in self.progress.values())
+
+    def in_touch(self, now: float, within: float) -> bool:
+        """Whether a majority was heard of lately: as leader from its answers, else from the leader."""
+        if self.role is Role.LEADER:
+            return self.log.roster.has_quorum(self._heard(now - within))
+        return self.leader is not None and now - self.leader_at <= within
+
+    def take(self) -> Out:
+        """What is to be done now."""
+        if self.role is Role.LEADER:
+            if self.beat_wanted:
+                self._begin_beat()
+            for name in self.progress:
+                self._replicate(name)
+        if self._write is not None:
+            write, self._write = self._write, None
+            self._out.writes.append(write)
+            last = write.entries[-1] if write.entries else None
+            index, term = (last.index, last.term) if last else (self.log.snapshot.index, self.log.snapshot.term)
+            self._under_way.append((write.number, index, term, write.term))
+        out, self._out = self._out, Out()
+        return out
+
+    def durable(self, number: int) -> None:
+        """All writes up to this one will survive whatever comes."""
+        while self._under_way and self._under_way[0][0] <= number:
+            _, index, term, self.saved_term = self._under_way.popleft()
+            if term == self.log.term_at(index) is not None:
+                self.durable_index = max(self.durable_index, index)
+        self._durable = max(self._durable, number)
+        while self._held and self._held[0][0] <= number:
+            _, to, message = self._held.popleft()
+            if message.term == self.term or type(message) is Vote:
+                self._out.sends.append((to, message))
+        if self.role is Role.CANDIDATE and self.saved_term == self.term and self.voted == self.name:
+            self._count_vote(self.name, True, pre=False)
+        elif self.role is Role.LEADER:
+            self._advance()
+        elif self.leader and self.claim and self.saved_term == self.term:
+            self._send(self.leader, AppendReply(self.term, 0, True, min(self.claim, self.durable_index), self.claim))
+
+    # Rules on which safety rests.
+
+    def _may_commit(self, index: int) -> bool:
+        """Only entries of the own term are committed by counting (5.4.2, figure 8)."""
+        return self.log.term_at(index) == self.term
+
+    def _is_current(self, last_term: int, last_index: int) -> bool:
+        """Whether another's log is at least as up to date as ours (5.4.1)."""
+        return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
+
+    def _conflict(self, entries: tuple[Entry, ...]) -> int:
+        """How many of these we hold already: only what differs is cut, as a late append may be short (5.3)."""
+        return next((place for place, one in enumerate(entries) if self.log.term_at(one.index) != one.term),
+                    len(entries))
+
+    def _change_blocked(self) -> Optional[Refused]:
+        """One server at a time, and not before an own entry is committed (dissertation 4.1; its 2015 erratum)."""
+        if self.role is not Role.LEADER:
+            return Refused(Why.NOT_LEADER, self.leader)
+        if self.commit < self.term_start:
+            return Refused(Why.NOT_READY, self.name)
+        if self.log.roster_index > self.commit or self.transfer:
+            return Refused(Why.CHANGING, self.name)
+        return None
+
+    def _save_vote(self) -> None:
+        """Term and vote are durable before anyone hears of them (figure 2: updated on stable storage)."""
+        self._writing().voting = True
+
+    def _confirmed(self, beat: int) -> bool:
+        """Whether a majority has answered this round or a later one: so nobody led in between (6.4)."""
+        names = {name for name, one in self.progress.items() if one.beat >= beat}
+        return self.log.roster.has_quorum(names | {self.name})
+
+    # Elections.
+
+    def _patience(self) -> float:
+        return self.pace.election * (1 + self.dice.random())
+
+    def _votes(self) -> bool:
+        """Whether it may campaign: who is to be removed still may, until that is committed (4.2.2).
+
+        Else, if nobody but it holds the entry that removes it, nobody could ever lead.
+        """
+        rosters = self.log.rosters if self.log.roster_index > self.commit else self.log.rosters[-1:]
+        return any(self.name in roster.voters for _, roster in rosters[-2:])
+
+    def _follow(self, term: int, leader: Optional[str]) -> None:
+        """Goes on as a follower, perhaps in a new term."""
+        if self.role is Role.LEADER:
+            self.stepped_down += 1
+            self._drop_reads()
+            self.progress, self.transfer, self.beat_at = {}, None, NEVER
+        if term > self.term:
+            self.term, self.voted, self.claim = term, None, 0
+            self._save_vote()
+        if leader != self.leader or term > self.term:
+            self._drop_asked()
+        self.role, self.leader, self.votes = Role.FOLLOWER, leader, {}
+        self.election_at = self.now + self._patience()
+
+    def _campaign(self, pre: bool, forced: bool = False) -> None:
+        """Asks for votes; a pre-vote changes nothing, so who can't win disturbs nobody."""
+        self._drop_asked()
+        self.leader, self.votes = None, {}
+        self.role = Role.PRE_CANDIDATE if pre else Role.CANDIDATE
+        self.election_at = self.now + self._patience()
+        if not pre:
+            self.elections += 1
+            self.term, self.voted, self.claim = self.term + 1, self.name, 0
+            self._save_vote()
+        ask = RequestVote(self.term + pre, self.log.last_index, self.log.last_term, pre, forced)
+        for name in self.log.roster.voters:
+            if name != self.name:
+                self._send(name, ask)
+        if pre:
+            self._count_vote(self.name, True, pre=True)     # a real one counts once it is durable
+
+    def _asked_for_vote(self, sender: str, ask: RequestVote) -> None:
+        led = self.role is Role.LEADER or self.leader is not None and self.now - self.leader_at < self.pace.election
+        if led and not ask.forced:      # who hears a leader lets nobody disturb it (dissertation 4.2.3)
+            if ask.pre or ask.term <= self.term:
+                self._send(sender, Vote(self.term, ask.pre, False))
+            return
+        if ask.term > self.term and not ask.pre:
+            self._follow(ask.term, None)
+        free = ask.pre or self.voted in (None, sender)
+        granted = ask.term >= self.term + ask.pre and free and self._is_current(ask.last_term, ask.last_index)
+        if granted and not ask.pre:
+            if self.voted is None:
+                self.voted = sender
+                self._save_vote()
+            self.election_at = self.now + self._patience()
+        self._send(sender, Vote(ask.term if granted else self.term, ask.pre, granted))
+
+    def _voted_for(self, sender: str, vote: Vote) -> None:
+        asking = self.role is (Role.PRE_CANDIDATE if vote.pre else Role.CANDIDATE)
+        if asking and (not vote.granted or vote.term == self.term + vote.pre):
+            self._count_vote(sender, vote.granted, vote.pre)
+
+    def _count_vote(self, name: str, granted: bool, pre: bool) -> None:
+        self.votes[name] = granted
+        roster = self.log.roster
+        if roster.has_quorum({one for one, yes in self.votes.items() if yes}):
+            self._campaign(pre=False) if pre else self._lead()
+        elif roster.has_quorum({one for one, yes in self.votes.items() if not yes}):
+            self._follow(self.term, None)
+
+    def _lead(self) -> None:
+        self.role, self.leader, self.votes = Role.LEADER, self.name, {}
+        self.progress = {one.name: Progress(self.log.last_index + 1, self.now)
+                         for one in self.log.roster.members if one.name != self.name}
+        self.pending = [self.log.last_index - self.commit, self.log.bytes_from(self.commit + 1)]
+        self.term_start = self._add(Kind.EMPTY, b"")
+        self._begin_beat()
+
+    def _take_over(self, sender: str, message: TimeoutNow) -> None:
+        if message.term == self.term and self.role is Role.FOLLOWER and self._votes():
+            self._campaign(pre=False, forced=True)
+
+    def _heard(self, since: float) -> set[str]:
+        return {name for name, one in self.progress.items() if one.heard_at >= since} | {self.name}
+
+    def _check_quorum(self) -> None:
+        """A leader that has heard no majority for an election's time leads nobody: it says so by stepping down."""
+        if not self.log.roster.has_quorum(self._heard(self.now - self.pace.election)):
+            self._follow(self.term, None)
+        elif self.transfer and self.now >= self.transfer[1]:
+            self.transfer = None
+
+    # Replication, as leader.
+
+    def _add(self, kind: Kind, data: bytes) -> int:
+        entry = Entry(self.log.last_index + 1, self.term, kind, data)
+        self._store([entry])
+        self.pending[0] += 1
+        self.pending[1] += len(data) + ENTRY_COST
+        if kind is Kind.ROSTER:
+            for one in self.log.roster.members:
+                if one.name != self.name and one.name not in self.progress:
+                    self.progress[one.name] = Progress(entry.index, self.now)
+        return entry.index
+
+    def _begin_beat(self) -> None:
+        """A round: who answers it has heard of us now."""
+        self.beat += 1
+        self.beat_at, self.beat_wanted = self.now + self.pace.beat, False
+        for name, one in self.progress.items():
+            if self.now - one.heard_at > self.pace.election * RECHECK_PART:
+                one.lost()
+            if not self._replicate(name):
+                self._say_append(name, one, [])
+        self._press_reads()
+
+    def _replicate(self, name: str) -> bool:
+        """Sends what a member may be sent; whether anything went. Who is silent gets no more than beats."""
+        one, went = self.progress[name], False
+        if self.now - one.heard_at > self.pace.election * RECHECK_PART:
+            return False
+        while one.may_send(self.now, max(self.pace.beat, self.pace.election * RECHECK_PART)):
+            if one.next <= self.log.base[0]:
+                self._say_chunk(name, one)
+                return True
+            if one.mode is Mode.SNAPSHOT or one.next > self.log.last_index and one.mode is Mode.STREAM:
+                if one.mode is Mode.SNAPSHOT:
+                    self._say_chunk(name, one)
+                    went = True
+                break
+            entries = self.log.between(one.next, self.log.last_index, self.pace.append_bytes)
+            self._say_append(name, one, entries)
+            one.sent(entries[-1].index if entries else one.next - 1,
+                     sum(len(entry.data) + ENTRY_COST for entry in entries), self.now)
+            went = True
+        return went
+
+    def _say_append(self, name: str, one: Progress, entries: list[Entry]) -> None:
+        prev = max(one.next - 1, self.log.base[0])
+        self._out.sends.append((name, AppendEntries(self.term, prev, self.log.term_at(prev), tuple(entries),
+                                                    self.commit, self.beat)))
+
+    def _say_chunk(self, name: str, one: Progress) -> None:
+        snapshot = self.log.snapshot
+        one.snapshot(snapshot.index, snapshot.mark)
+        data = snapshot.data[one.offset:one.offset + self.pace.chunk_bytes]
+        one.sent(0, len(data), self.now)
+        self._out.sends.append((name, InstallSnapshot(
+            self.term, self.beat, snapshot.index, snapshot.term, snapshot.roster, snapshot.mark, len(snapshot.data),
+            one.offset, data)))
+
+    def _append_answered(self, sender: str, reply: AppendReply) -> None:
+        one = self.progress.get(sender)
+        if self.role is not Role.LEADER or one is None or reply.term != self.term:
+            return
+        one.heard_at, one.beat = self.now, max(one.beat, reply.beat)
+        if reply.ok:
+            one.matched(min(reply.held, self.log.last_index), min(reply.match, self.log.last_index), self.now)
+            self._promote(sender, one)
+            self._advance()
+            self._press_transfer()
+        else:
+            hint = self.log.last_of_term(reply.hint_term) if reply.hint_term else None
+            one.refused(reply.prev_index, (hint or reply.hint_index - 1) + 1, self.now)
+        self._press_reads()
+
+    def _chunk_answered(self, sender: str, reply: SnapshotReply) -> None:
+        one = self.progress.get(sender)
+        if self.role is not Role.LEADER or one is None or reply.term != self.term:
+            return
+        one.heard_at, one.beat = self.now, max(one.beat, reply.beat)
+        if reply.done:
+            one.matched(reply.index, reply.index, self.now)
+            self._advance()
+        elif one.mode is Mode.SNAPSHOT and reply.mark == one.mark:
+            one.offset, one.sent_at = min(reply.offset, len(self.log.snapshot.data)), float("-inf")
+        self._press_reads()
+
+    def _advance(self) -> None:
+        """Commits what a majority holds for good."""
+        voters = self.log.roster.voters
+        if not voters:
+            return
+        held = sorted((self.durable_index if name == self.name else self.progress[name].match for name in voters),
+                      reverse=True)
+        index = held[len(voters) // 2]
+        if index > self.commit and self._may_commit(index):
+            self._commit_to(index)
+            if self.commit >= self.log.roster_index:
+                self._settle_roster()
+
+    def _settle_roster(self) -> None:
+        """A committed roster counts: who is no longer in it hears so once more, and is left alone."""
+        gone = [name for name in self.progress if not self.log.roster.get(name)]
+        if gone or not self._votes():
+            for name in self.progress:
+                self._say_append(name, self.progress[name], [])
+        for name in gone:
+            del self.progress[name]
+        if not self._votes():
+            self._follow(self.term, None)
+
+    def _promote(self, name: str, one: Progress) -> None:
+        """A learner votes once it has caught up with a round's entries within an election's time (4.2.1)."""
+        member = self.log.roster.get(name)
+        if member is None or member.votes or one.match < one.round_end:
+            return
+        if one.round_end and self.now - one.round_at <= self.pace.election and not self._change_blocked():
+            self._add(Kind.ROSTER, encode(self.log.roster.with_member(Member(name, member.address))))
+        one.round_end, one.round_at = max(self.log.last_index, 1), self.now
+
+    def _press_transfer(self) -> None:
+        if self.transfer and self.progress[self.transfer[0]].match == self.log.last_index:
+            self._send(self.transfer[0], TimeoutNow(self.term))
+
+    # Reads.
+
+    def _press_reads(self) -> None:
+        while self.reads and self.reads[0].beat <= self.beat and self._confirmed(self.reads[0].beat):
+            read = self.reads.popleft()
+            self._answer_read(read.token, read.index)
+
+    def _answer_read(self, token: object, index: int) -> None:
+        if type(token) is _Remote:
+            self._send(token.name, ReadReply(self.term, token.number, index))
+        else:
+            self._out.reads.append((token, index))
+
+    def _drop_reads(self) -> None:
+        reads, self.reads, self.beat_wanted = self.reads, deque(), False
+        for read in reads:
+            self._answer_read(read.token, -1)
+
+    def _drop_asked(self) -> None:
+        asked, self.asked = self.asked, {}
+        self._out.reads += [(token, -1) for token in asked.values()]
+
+    def _read_asked(self, sender: str, ask: ReadIndex) -> None:
+        if self.role is not Role.LEADER or isinstance(self.read(_Remote(sender, ask.token), self.now), Refused):
+            self._send(sender, ReadReply(self.term, ask.token, -1))
+
+    def _read_answered(self, sender: str, reply: ReadReply) -> None:
+        if reply.token in self.asked:
+            self._out.reads.append((self.asked.pop(reply.token), reply.index))
+
+    # Replication, as follower.
+
+    def _hear_leader(self, sender: str) -> None:
+        assert self.role is not Role.LEADER, "two lead in one term"
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._follow(self.term, sender)
+        self.leader_at = self.now
+        self.election_at = self.now + self._patience()
+
+    def _append(self, sender: str, said: AppendEntries) -> None:
+        if said.term < self.term:
+            self._send(sender, AppendReply(self.term, said.beat, False, prev_index=said.prev_index))
+            return
+        self._hear_leader(sender)
+        prev, prev_term, entries = said.prev_index, said.prev_term, said.entries
+        base = self.log.base[0]
+        if prev < base:     # what is compacted away is committed, and so the same
+            entries = entries[base - prev:]
+            prev, prev_term = base, self.log.base[1]
+        stands = self.log.term_at(prev)
+        if stands != prev_term:
+            first = self.log.last_index + 1 if stands is None else self.log.first_of_term(prev)
+            self._send(sender, AppendReply(self.term, said.beat, False, prev_index=said.prev_index,
+                                           hint_index=first, hint_term=stands or 0))
+            return
+        new = entries[self._conflict(entries):]
+        if new and new[0].index <= self.log.last_index:
+            assert new[0].index > self.commit, "a committed entry would be cut"
+            self._cut(new[0].index)
+        if new:
+            self._store(list(new))
+        self.claim = max(self.claim, prev + len(entries))
+        self._commit_to(min(said.commit, self.claim))
+        self._send(sender, AppendReply(self.term, said.beat, True, min(self.claim, self.durable_index), self.claim))
+
+    def _install(self, sender: str, said: InstallSnapshot) -> None:
+        if said.term < self.term:
+            self._send(sender, SnapshotReply(self.term, said.beat, said.index, said.mark, 0))
+            return
+        self._hear_leader(sender)
+        if said.index <= self.commit:   # an older one than what is known: nothing to fetch
+            self.partial = None
+            self._send_after(sender, SnapshotReply(self.term, said.beat, said.index, said.mark, 0, done=True))
+            return
+        if self.partial is None or self.partial[0].mark != said.mark or self.partial[0].index != said.index:
+            if said.size > SNAPSHOT_MOST:
+                return
+            self.partial = said, bytearray()
+        data = self.partial[1]
+        if said.offset == len(data):
+            data += said.data
+        if len(data) < said.size:
+            self._send(sender, SnapshotReply(self.term, said.beat, said.index, said.mark, len(data)))
+            return
+        self.partial = None
+        if len(data) != said.size or mark_of(bytes(data)) != said.mark:
+            self._send(sender, SnapshotReply(self.term, said.beat, said.index, said.mark, 0))
+            return
+        snapshot = Snapshot(said.index, said.last_term, said.roster, bytes(data), said.mark)
+        kept = self.log.term_at(snapshot.index) == snapshot.term
+        if self._write is not None and self._write.entries:     # entries of before go before it
+            self._flush_write()
+        self.log.compact(snapshot)
+        if not kept:
+            self._void(snapshot.index + 1)
+        self.commit = self.applied = self.claim = snapshot.index
+        write = self._writing()
+        write.snapshot, write.cut = snapshot, None if kept else snapshot.index + 1
+        self._out.applied.append(snapshot)
+        self._send_after(sender, SnapshotReply(self.term, said.beat, said.index, said.mark, said.size, done=True))
+
+    # What is kept, said and applied.
+
+    def _writing(self) -> Write:
+        """The write that gathers what is to be durable next."""
+        if self._write is None:
+            self._number += 1
+            self._write = Write(self._number, self.term, self.voted)
+        self._write.term, self._write.voted = self.term, self.voted
+        return self._write
+
+    def _flush_write(self) -> None:
+        write, self._write = self._write, None
+        self._out.writes.append(write)
+        last = write.entries[-1]
+        self._under_way.append((write.number, last.index, last.term, write.term))
+
+    def _store(self, entries: list[Entry]) -> None:
+        self.log.append(entries)
+        self._writing().entries += entries
+
+    def _cut(self, first: int) -> None:
+        """What follows here differs from the leader's: it goes, from the disk as well."""
+        self.log.cut(first)
+        self.claim = min(self.claim, first - 1)
+        self._void(first)
+        write = self._writing()
+        kept = [one for one in write.entries if one.index < first]
+        if len(kept) == len(write.entries) or not kept:
+            write.cut = first if write.cut is None else min(write.cut, first)
+        write.entries = kept
+
+    def _void(self, first: int) -> None:
+        """Entries from here on are no longer durable, even if they come back: their cut is under way, too."""
+        self.durable_index = min(self.durable_index, first - 1)
+        before = self.log.term_at(first - 1)
+        self._under_way = deque(one if one[1] < first else (one[0], first - 1, before, one[3])
+                                for one in self._under_way)
+
+    def _commit_to(self, index: int) -> None:
+        if index <= self.commit:
+            return
+        done = self.log.between(self.commit + 1, index, 1 << 62)
+        if self.role is Role.LEADER:
+            self.pending[0] -= len(done)
+            self.pending[1] -= sum(len(one.data) + ENTRY_COST for one in done)
+        self.commit = self.applied = index
+        self._out.applied += done
+
+    def _send(self, to: str, message: Message) -> None:
+        """Says something, yet not before the term that it bears is durable."""
+        if self.saved_term == self.term and not (type(message) is Vote and message.granted and not message.pre):
+            self._out.sends.append((to, message))
+        else:
+            self._send_after(to, message)
+
+    def _send_after(self, to: str, message: Message) -> None:
+        """Says something once all that is to be written now is durable."""
+        if self._number > self._durable:
+            self._held.append((self._number, to, message))
+        else:
+            self._out.sends.append((to, message))
+
+
+@dataclass(frozen=True, slots=True)
+class _Remote:
+    """A read that another member asked for."""
+    name: str
+    number: int
--- /dev/null
+++ b/lifthinge/service/agreed.py
@@ -0,0 +1,63 @@
+"""The agreed document on its way to the decisions: ids become objects here, and `until` is watched."""
+import logging
+from typing import Any, Callable, Optional
+
+import msgspec
+
+from lifthinge.agreed.document import Document, Fault, read_document
+from lifthinge.cluster import talk
+from lifthinge.cluster.follower import AgreedFollower
+from lifthinge.cluster.keys import KeyFile, NoKeys, read_keys
+from lifthinge.interface import ByHand, Event
+from lifthinge.memory.books import Books
+from lifthinge.memory.world import World
+from lifthinge.operators import AgreedPart, split_address
+from lifthinge.terms import SiteMap
+
+log = logging.getLogger(__name__)
+
+
+class AgreedDoor:
+    """Makes the event `ByHand` of the document that is obeyed, whenever it or the list of backends changes."""
+
+    def __init__(self, part: AgreedPart, name: str, books: Books, world: World, site: SiteMap,
+                 tell: Callable[[list[Event]], None], keys: KeyFile) -> None:
+        self.books, self.world, self.site, self.tell = books, world, site, tell
+        self.document: Optional[Document] = None
+        self._deadline: Any = None
+        members = {member: split_address(address) for member, address in part.members.items()}
+        self.follower = AgreedFollower(books, members, part.cluster, name, keys, self._told)
+
+    def _told(self, one: talk.Shown) -> None:
+        found = read_document(msgspec.msgpack.decode(one.body))
+        if isinstance(found, Fault):
+            self.books.notices.note("agreed_unusable", version=one.version, key=found.key, why=found.why)
+            return
+        self.document = found
+        log.info("agreed", {"version": one.version, "term": one.term, "index": one.index, "author": one.author,
+                            "out": len(found.backends)})
+        self.tell([self.event()])
+
+    def event(self) -> ByHand:
+        """What the document says now, in objects; names that this deployment does not know mean nothing to it."""
+        document, now = self.document or Document(), self.books.now
+        out = [one for one in document.backends if not one.until or one.until > now]
+        later = [one.until for one in out if one.until]
+        if self._deadline is not None:
+            self._deadline.cancel()
+        self._deadline = self.books.deadlines.set(min(later) - now, lambda: self.tell([self.event()])) if later else None
+        zones, methods = self.site.zones, self.site.methods
+        return ByHand(
+            [found for one in out if (found := self.world.backend(one.id))],
+            {zones.index(one.name): one.share for one in document.zones if one.name in zones},
+            {methods.index(one.name): one.criticality for one in document.methods if one.name in methods})
+
+    def close(self) -> None:
+        self.follower.close()
+        if self._deadline is not None:
+            self._deadline.cancel()
+
+
+def need_keys(part: AgreedPart) -> KeyFile | NoKeys:
+    keys = read_keys(part.key_file)
+    return keys if isinstance(keys, NoKeys) else KeyFile(part.key_file, keys)
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -38,6 +38,16 @@
         ...
 
 
+class Agreement(Protocol):
+    """Where the agreed document comes from: `lifthinge.service.agreed.AgreedDoor`."""
+
+    def event(self) -> Event:
+        ...
+
+    def close(self) -> None:
+        ...
+
+
 class Controller:
     """Owns everything that belongs to one controller; settings say what of it exists."""
 
@@ -47,8 +57,8 @@
         self.reception = Reception(books, self.door, _inbound(place), lambda: self.ready, self.tell)
         self.relay = Relay(books, self.door, self.calls, place.relay, lambda: self.tell([]), self._refused)
         self.news = News(books, self.door, self.world, self.calls, place.relay, self._tell_news)
-        self.discovery = Discovery(books, self.door, self.world, place.discovery,
-                                   lambda news: self.tell([news]))
+        self.discovery = Discovery(books, self.door, self.world, place.discovery, self._tell_list)
+        self.agreed: Optional[Agreement] = None
         self.probes = Probes(books, self.door, self.world, lambda found: self.tell([found]))
         self.peers = Peers(books, list(place.peers), place.peers_all, place.site.number,
                            lambda note: self.tell([note]))
@@ -78,8 +88,18 @@
         self._run("news", self.news.run)
         if not self.place.site.news_on_request:
             self._follow(True)
+        if self.agreed is not None:
+            self._run("agreed", self.agreed.follower.run)
         self.books.deadlines.set(DISCOVERY_WAIT, self._wait_no_more)
 
+    def agree(self, agreed: "Agreement") -> None:
+        """From the start on, an agreed document is followed, too."""
+        self.agreed = agreed
+
+    def _tell_list(self, news: FleetNews) -> None:
+        """A list may bring backends that the agreed document names."""
+        self.tell([news] if self.agreed is None else [news, self.agreed.event()])
+
     def reload(self, new: Place) -> None:
         """Goes on by a new configuration: what has moved is met at its new address before the old is left."""
         former, self.place = self.place, replace(self.place, discovery=new.discovery, relay=new.relay)
@@ -112,6 +132,8 @@
         self.discovery.close()
         self.probes.close()
         self.peers.close()
+        if self.agreed is not None:
+            self.agreed.close()
 
     def tell(self, events: list[Event]) -> None:
         """Takes in events; they are decided on together once this loop turn is over."""
--- /dev/null
+++ b/lifthinge/service/member.py
@@ -0,0 +1,99 @@
+"""Start and stop of a member of the cluster."""
+import asyncio
+import logging
+import os
+import signal
+from pathlib import Path
+from random import SystemRandom
+
+from lifthinge.cluster.disk import Cluster, open_disk
+from lifthinge.cluster.keys import KeyFile, Keys, NoKeys, read_keys
+from lifthinge.cluster.member import MemberServer, Seat
+from lifthinge.operators import MemberPart, split_address
+from lifthinge.raft.messages import Member, Roster
+from lifthinge.raft.node import Pace
+from lifthinge.service import logs
+from lifthinge.service.run import BAD_START, counters, make_books
+from lifthinge.store.files import Files
+from lifthinge.store.store import Damage
+
+log = logging.getLogger(__name__)
+FAILED = 1
+SOCKETS = 8_192
+
+
+class BadMember(Exception):
+    """The member can't start; the text names key or file."""
+
+
+def _key_files(part: MemberPart, path: str) -> dict[str, KeyFile]:
+    files = {}
+    for role, name in (("member", "key_file"), ("client", "client_key_file")):
+        keys = read_keys(getattr(part, name))
+        if isinstance(keys, NoKeys):
+            raise BadMember(f"{path}: member.{name}: {keys.path}: {keys.why}")
+        files[role] = KeyFile(getattr(part, name), keys)
+    return files
+
+
+def _open(part: MemberPart, path: str, kind: type[Files]):
+    try:
+        disk = open_disk(kind(Path(part.folder)))
+    except OSError as error:
+        raise BadMember(f"{path}: member.folder: {part.folder}: {error.strerror or error}") from None
+    if isinstance(disk, Damage):
+        raise BadMember(f"{path}: member.folder: {part.folder}/{disk}")
+    if disk.cluster is None:
+        if disk.image.term or disk.image.entries:
+            raise BadMember(f"{path}: member.folder: {part.folder}: does not say whose it is")
+        first = Roster(tuple(Member(name, address) for name, address in sorted(part.start_with.items())))
+        disk.begin(Cluster(part.cluster, part.name, first))
+    elif (disk.cluster.cluster, disk.cluster.member) != (part.cluster, part.name):
+        raise BadMember(f"{path}: member.folder: {part.folder}: belongs to {disk.cluster.member} of"
+                        f" {disk.cluster.cluster}")
+    return disk
+
+
+async def serve(part: MemberPart, path: str, kind: type[Files]) -> int:
+    """Serves until SIGTERM, or until the disk fails."""
+    loop, over, failed = asyncio.get_running_loop(), asyncio.Event(), []
+    files = _key_files(part, path)
+    books = make_books(SystemRandom().getrandbits(64), SOCKETS)
+
+    def keys(role: str) -> Keys:
+        found = files[role].now()
+        if files[role].fault:
+            books.notices.note("keys_unusable", path=files[role].path, why=files[role].fault.why)
+        return found
+
+    def fatal(why: str) -> None:
+        failed.append(why)
+        over.set()
+    disk = _open(part, path, kind)
+    seat = Seat(part.cluster, part.name, split_address(part.listen),
+                Pace(election=part.election_ms, beat=part.beat_ms), keys)
+    member = MemberServer(seat, books, disk, fatal)
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, over.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)    # keys are read again by themselves
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", counters(books)))
+    try:
+        await member.start()
+    except OSError as error:
+        await member.stop()
+        raise BadMember(f"{path}: member.listen: {part.listen}: {error.strerror or error}") from None
+    log.info("member_started", {"member": part.name, "cluster": part.cluster, "listen": "%s:%d" % member.where,
+                                "term": member.raft.term, "last": member.raft.log.last_index, "pid": os.getpid()})
+    await over.wait()
+    await member.stop()
+    log.info("stopped", counters(books))
+    return FAILED if failed else 0
+
+
+def main(part: MemberPart, path: str, kind: type[Files] = Files, form: str = "key-value") -> int:
+    logs.start(form)
+    try:
+        return asyncio.run(serve(part, path, kind))
+    except BadMember as error:
+        log.error("bad_start", {"why": str(error)})
+        return BAD_START
--- a/lifthinge/service/run.py
+++ b/lifthinge/service/run.py
@@ -6,7 +6,7 @@
 import signal
 import time
 from random import Random
-from typing import Callable
+from typing import TYPE_CHECKING, Callable, Optional
 
 from lifthinge.choice import Choice
 from lifthinge.memory.books import Books
@@ -17,6 +17,9 @@
 from lifthinge.service.controller import Controller
 from lifthinge.service.environment import BadStart, Place, read_place
 
+if TYPE_CHECKING:
+    from lifthinge.operators import Operators
+
 log = logging.getLogger(__name__)
 BAD_START = 2
 MS = 1000.0
@@ -51,11 +54,25 @@
         controller.books.notices.note("reload_failed", key=error.key, why=error.why)
 
 
-async def serve(place: Place, hung_up: list[int]) -> None:
+def turn_on(controller: Controller, operators: Optional["Operators"]) -> None:
+    """What the operators' file asks for; without it nothing of that is even imported."""
+    if operators is None or operators.agreed is None:
+        return
+    from lifthinge.cluster.keys import NoKeys
+    from lifthinge.service.agreed import AgreedDoor, need_keys
+    keys = need_keys(operators.agreed)
+    if isinstance(keys, NoKeys):
+        raise BadStart("agreed.key_file", f"{keys.path}: {keys.why}")
+    controller.agree(AgreedDoor(operators.agreed, controller.place.name, controller.books, controller.world,
+                                controller.place.site, controller.tell, keys))
+
+
+async def serve(place: Place, hung_up: list[int], operators: Optional["Operators"] = None) -> None:
     """Serves until SIGTERM; `hung_up` has the SIGHUPs that came before."""
     loop, over = asyncio.get_running_loop(), asyncio.Event()
     books = make_books(place.seed, place.sockets)
     controller = Controller(place, books, Choice(place.terms, place.seed))
+    turn_on(controller, operators)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, over.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: reload(controller))
@@ -72,10 +89,10 @@
     log.info("stopped", counters(books))
 
 
-def main(hung_up: list[int]) -> int:
-    logs.start()
+def main(hung_up: list[int], operators: Optional["Operators"] = None) -> int:
+    logs.start(operators.log.form if operators else "key-value")
     try:
-        asyncio.run(serve(read_place(os.environ), hung_up))
+        asyncio.run(serve(read_place(os.environ), hung_up, operators))
     except BadStart as error:
         log.error("bad_start", {"key": error.key, "why": error.why})
         return BAD_START
--- /dev/null
+++ b/lifthinge/store/records.py
@@ -0,0 +1,82 @@
+"""Records as they lie in a segment, and where a damaged one differs from a torn tail.
+
+A record is a head (length, CRC-32C, kind, and up to where the segment was durable when the record was written) and
+its bytes. The last tells apart what the disk owes us: a record that can't be read may be a torn tail only if no
+readable record after it was written once that place was durable.
+
+>>> one, two = pack(3, b"abc", 0), pack(1, b"", len(pack(3, b"abc", 0)))
+>>> list(scan(one + two, 0)) == [Record(0, 3, b"abc", 0), Record(len(one), 1, b"", len(one))]
+True
+>>> torn = one + two[:-1]; [record.kind for record in scan(torn, 0)], end_of(torn, 0)
+([3], 20)
+>>> spoilt = bytearray(one + two); spoilt[18] ^= 1
+>>> end_of(spoilt, 0)
+Spoilt(at=0)
+>>> end_of(bytearray(one) + bytes(40), 0)       # zeros of a tail that never came
+20
+"""
+import struct
+from typing import Iterator, NamedTuple, Union
+
+import crc32c
+
+_HEAD = struct.Struct("<IIBQ")      # length, checksum, kind, durable up to
+HEAD = _HEAD.size
+RECORD_MOST = 80 << 20
+
+
+class Record(NamedTuple):
+    at: int
+    kind: int
+    data: bytes
+    durable: int
+
+
+class Spoilt(NamedTuple):
+    """A record that can't be read although it was durable once."""
+    at: int
+
+
+def pack(kind: int, data: bytes, durable: int) -> bytes:
+    """A record's bytes."""
+    head = _HEAD.pack(len(data), 0, kind, durable)
+    return _HEAD.pack(len(data), crc32c.crc32c(data, crc32c.crc32c(head)), kind, durable) + data
+
+
+def read(view: bytes, at: int) -> Union[Record, None]:
+    """The record that begins here, None if it is not whole and sound."""
+    if at + HEAD > len(view):
+        return None
+    length, check, kind, durable = _HEAD.unpack_from(view, at)
+    if length > RECORD_MOST or at + HEAD + length > len(view) or durable > at:
+        return None
+    data = bytes(view[at + HEAD:at + HEAD + length])
+    if crc32c.crc32c(data, crc32c.crc32c(_HEAD.pack(length, 0, kind, durable))) != check:
+        return None
+    return Record(at, kind, data, durable)
+
+
+def scan(view: bytes, start: int) -> Iterator[Record]:
+    """Records from here on, up to the first that can't be read."""
+    record = read(view, start)
+    while record is not None:
+        yield record
+        record = read(view, record.at + HEAD + len(record.data))
+
+
+def end_of(view: bytes, start: int) -> Union[int, Spoilt]:
+    """Where the sound records end: the tail after that is torn, or else what lies there is spoilt."""
+    end = start
+    for record in scan(view, start):
+        end = record.at + HEAD + len(record.data)
+    if end + HEAD <= len(view):     # most often the bytes are spoilt and the length is not: look there first
+        after = read(view, end + HEAD + _HEAD.unpack_from(view, end)[0])
+        if after is not None and after.durable > end:
+            return Spoilt(end)
+    for at in range(end + 1, len(view) - HEAD + 1):
+        durable = _HEAD.unpack_from(view, at)[3]
+        if end < durable <= at:
+            record = read(view, at)
+            if record is not None and record.durable > end:
+                return Spoilt(end)
+    return end
--- /dev/null
+++ b/lifthinge/store/store.py
@@ -0,0 +1,238 @@
+"""A durable log of records in segments, and the snapshot before it.
+
+What `sync` returned from is there after any crash. A snapshot is a file of its own: written under another name,
+synced, renamed, and the folder synced; it names the segment that follows it, whose first records are those that the
+snapshot does not hold. Only then is what it stands for removed. A torn tail is cut when the store is opened; damage
+before it is refused, with file and offset. The store is used by one thread at a time and by one process.
+
+>>> import tempfile
+>>> files = Files(Path(tempfile.mkdtemp()) / "s")
+>>> store = Store.open(files); store.append(1, b"a"); store.append(2, b"b"); store.sync(); store.close()
+>>> store = Store.open(files); store.found, store.snapshot
+([(1, b'a'), (2, b'b')], None)
+>>> store.save(b"both", [(2, b"b")]); store.append(2, b"c"); store.sync(); store.close()
+>>> store = Store.open(files); store.snapshot, store.found
+(b'both', [(2, b'b'), (2, b'c')])
+>>> isinstance(Store.open(files), Damage), files.names()
+(True, ['lock', 'log-00000002', 'snapshot-00000002'])
+>>> store.close()
+"""
+import struct
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Iterable, Union
+
+import crc32c
+
+from lifthinge.store import records
+from lifthinge.store.files import Files
+from lifthinge.store.records import Spoilt
+
+SEGMENT_MOST = 32 << 20     # bytes, then another segment begins
+BUFFER_MOST = 1 << 20       # bytes gathered before they are handed to the system
+_SEGMENT = struct.Struct("<8sIQQI")     # magic, format, number, length of the one before, checksum
+_SNAPSHOT = struct.Struct("<8sIQQI")    # magic, format, first segment after it, length, checksum
+_MAGIC, _SNAPSHOT_MAGIC, _FORMAT = b"lifthlog", b"lifthsnp", 1
+NO_CHAIN = (1 << 64) - 1    # the first segment after a snapshot names none before it
+
+
+@dataclass(frozen=True, slots=True)
+class Damage:
+    """Why a folder can't be used: nothing is made up in place of what is lost."""
+    file: str
+    offset: int
+    why: str
+
+    def __str__(self) -> str:
+        return f"{self.file} at {self.offset}: {self.why}"
+
+
+@dataclass(slots=True)
+class Found:
+    """What a folder holds, read without changing it."""
+    snapshot: Union[bytes, None]
+    first: int                      # segment after the snapshot
+    last: int
+    records: list[tuple[int, bytes]]
+    end: int                        # of the last segment's sound records
+    torn: int                       # bytes after that
+    stale: list[str]                # files that a crash left behind
+
+
+def _name(kind: str, number: int) -> str:
+    return f"{kind}-{number:08d}"
+
+
+def _numbers(names: list[str], kind: str) -> list[int]:
+    return [int(name[len(kind) + 1:]) for name in names
+            if name.startswith(kind + "-") and name[len(kind) + 1:].isdigit()]
+
+
+def _head(form: struct.Struct, magic: bytes, first: int, second: int, data: bytes = b"") -> bytes:
+    check = crc32c.crc32c(data, crc32c.crc32c(form.pack(magic, _FORMAT, first, second, 0)))
+    return form.pack(magic, _FORMAT, first, second, check)
+
+
+def _snapshot(name: str, view: bytes, number: int) -> Union[bytes, Damage]:
+    if len(view) < _SNAPSHOT.size:
+        return Damage(name, len(view), "a snapshot without its head")
+    magic, form, first, length, _ = _SNAPSHOT.unpack_from(view)
+    data = view[_SNAPSHOT.size:]
+    if magic != _SNAPSHOT_MAGIC or form != _FORMAT:
+        return Damage(name, 0, "no snapshot of a format known here")
+    if first != number or length != len(data) or view[:_SNAPSHOT.size] != _head(
+            _SNAPSHOT, _SNAPSHOT_MAGIC, first, length, data):
+        return Damage(name, 0, "the checksum of the snapshot does not fit")
+    return data
+
+
+def survey(files: Files) -> Union[Found, Damage]:
+    """Reads a folder as it stands; changes nothing."""
+    names = files.names()
+    snapshots, segments = _numbers(names, "snapshot"), _numbers(names, "log")
+    snapshot, first = None, min(segments, default=1)
+    if snapshots:
+        first = max(snapshots)
+        snapshot = _snapshot(_name("snapshot", first), files.read(_name("snapshot", first)), first)
+        if isinstance(snapshot, Damage):
+            return snapshot
+    elif segments and first != 1:
+        return Damage(_name("log", first), 0, "the snapshot before this segment is missing")
+    unnamed = _name("log", first) + ".new"      # complete before the snapshot got its name, its own name lost
+    if snapshot is not None and first not in segments:
+        if unnamed not in names:
+            return Damage(_name("log", first), 0, "the segment after the snapshot is missing")
+        segments = [*segments, first]
+    stale = [_name("snapshot", one) for one in snapshots if one < first]
+    stale += [_name("log", one) for one in segments if one < first]
+    stale += [one for one in names if one.endswith(".new") and (one != unnamed or first in _numbers(names, "log"))]
+    segments = sorted(one for one in segments if one >= first)
+    found, end, torn, last = [], 0, 0, first - 1
+    for place, number in enumerate(segments):
+        name, final = _name("log", number), place == len(segments) - 1
+        if number != last + 1:
+            return Damage(_name("log", last + 1), 0, "this segment is missing")
+        view = files.read(name if name in names else unnamed)
+        before = NO_CHAIN if number == first else end
+        if final and number != first and view[:_SEGMENT.size] == _head(_SEGMENT, _MAGIC, number, NO_CHAIN):
+            stale.append(name)      # begun for a snapshot that never got its name
+            break
+        if view[:_SEGMENT.size] != _head(_SEGMENT, _MAGIC, number, before):
+            if not final or len(view) > _SEGMENT.size or number == first and snapshot is not None:
+                return Damage(name, 0, "the segment's head can't be read, or names another length before it")
+            stale.append(name)      # a crash while it was begun: nothing in it was ever durable
+            break
+        stop = records.end_of(view, _SEGMENT.size)
+        if isinstance(stop, Spoilt):
+            return Damage(name, stop.at, "a record that was durable can't be read")
+        if not final and stop != len(view):
+            return Damage(name, stop, "a record before the last segment can't be read")
+        found += [(one.kind, one.data) for one in records.scan(view, _SEGMENT.size)]
+        end, torn, last = stop, len(view) - stop, number
+    return Found(snapshot, first, last, found, end, torn, stale)
+
+
+class Store:
+    """An open folder; `found` and `snapshot` are what it held."""
+
+    def __init__(self, files: Files, state: Found) -> None:
+        self.files, self.snapshot, self.found = files, state.snapshot, state.records
+        self._number, self._end, self._durable = state.last, state.end, state.end
+        self._buffer: list[bytes] = []
+        self._gathered = 0
+        self._file = files.open(_name("log", state.last)) if state.last >= state.first else -1
+        self.syncs = 0
+
+    @classmethod
+    def open(cls, files: Files) -> Union["Store", Damage]:
+        """Takes a folder, cuts a torn tail, and clears away what a crash left; errors of the system are raised."""
+        if not files.lock():
+            return Damage("lock", 0, "another process uses this folder")
+        state = survey(files)
+        if isinstance(state, Damage):
+            files.unlock()
+            return state
+        for name in state.stale:
+            files.remove(name)
+        if state.last >= state.first and _name("log", state.first) not in files.names():
+            files.rename(_name("log", state.first) + ".new", _name("log", state.first))
+        if state.torn:
+            files.truncate(_name("log", state.last), state.end)
+        store = cls(files, state)
+        if store._file < 0:
+            store._begin(1, NO_CHAIN)
+        files.sync_folder()
+        return store
+
+    @property
+    def size(self) -> int:
+        """Bytes of the segment that is written now."""
+        return self._end + self._gathered
+
+    def append(self, kind: int, data: bytes) -> None:
+        """Adds a record; it is durable after `sync`."""
+        packed = records.pack(kind, data, self._durable)
+        self._buffer.append(packed)
+        self._gathered += len(packed)
+        if self._gathered > BUFFER_MOST:
+            self._flush()
+
+    def sync(self) -> None:
+        """Makes all records durable; an error of the system leaves the store unusable."""
+        self._flush()
+        self.files.sync(self._file)
+        self.syncs += 1
+        self._durable = self._end
+        if self._end > SEGMENT_MOST:
+            self.files.close(self._file)
+            self._begin(self._number + 1, self._end)
+
+    def save(self, data: bytes, kept: Iterable[tuple[int, bytes]]) -> None:
+        """Lets a snapshot stand for all records so far, but for those `kept`; durable when it returns."""
+        self._flush()
+        self.files.sync(self._file)
+        self.files.close(self._file)
+        self._file = -1
+        number, former = self._number + 1, self._number
+        self._begin(number, NO_CHAIN, temporary=True)
+        for kind, one in kept:
+            self.append(kind, one)
+        self._flush()
+        self.files.sync(self._file)
+        self._durable = self._end
+        name = _name("snapshot", number)
+        file = self.files.open(name + ".new")
+        try:
+            self.files.write(file, _head(_SNAPSHOT, _SNAPSHOT_MAGIC, number, len(data), data) + data)
+            self.files.sync(file)
+        finally:
+            self.files.close(file)
+        # The segment gets its name first: until the snapshot has its own, both are left out as unfinished.
+        self.files.rename(_name("log", number) + ".new", _name("log", number))
+        self.files.rename(name + ".new", name)
+        self.files.sync_folder()
+        for kind in ("log", "snapshot"):
+            for one in _numbers(self.files.names(), kind):
+                if one <= former:
+                    self.files.remove(_name(kind, one))
+
+    def close(self) -> None:
+        if self._file >= 0:
+            self.files.close(self._file)
+            self._file = -1
+        self.files.unlock()
+
+    def _begin(self, number: int, before: int, temporary: bool = False) -> None:
+        name = _name("log", number) + (".new" if temporary else "")
+        self._file = self.files.open(name)
+        self.files.write(self._file, _head(_SEGMENT, _MAGIC, number, before))
+        self._number, self._end, self._durable = number, _SEGMENT.size, 0
+        if not temporary:
+            self.files.sync(self._file)
+            self.files.sync_folder()
+
+    def _flush(self) -> None:
+        data, self._buffer, self._gathered = b"".join(self._buffer), [], 0
+        if data:
+            self.files.write(self._file, data)
+            self._end += len(data)
--- a/lifthinge/wire/connection.py
+++ b/lifthinge/wire/connection.py
@@ -15,6 +15,7 @@
 class Connection(asyncio.BufferedProtocol):
     """Subclasses say what is done with what has come, at the peer's end, and when all is lost."""
     kind = "connection"
+    unread_most = UNREAD_MOST
 
     def __init__(self, books: Books, limit: int, first: int = 4096) -> None:
         self.books, self.buffer = books, Buffer(limit, first)
@@ -75,7 +76,7 @@
             self.unsent = True
             return
         self.transport.write(data)
-        if self.transport.get_write_buffer_size() > UNREAD_MOST:
+        if self.transport.get_write_buffer_size() > self.unread_most:
             self.books.notices.note("peer_reads_nothing", kind=self.kind)
             self.abort()
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,38 +1,62 @@
-"""Runs the doctests and plays every scenario; the last line counts both."""
+"""Runs the doctests, the checks, and plays every scenario; the last line counts all of them."""
 import doctest
 import importlib
 import logging
 import sys
+import time
 from pathlib import Path
+from typing import Callable
 
-from tests.play import Network, Stage
+from tests import check_members, check_raft, check_store
+from tests.play.cluster import ClusterStage
+from tests.play.network import Network
+from tests.play.stage import Stage
 
-MODULES = ("channel", "histogram", "lowest", "tables", "terms", "memory.attempts", "memory.calls",
-           "memory.counters", "memory.deadlines", "memory.slots", "memory.world", "service.environment",
-           "service.logs", "wire.buffer", "wire.client", "wire.door", "wire.frames", "wire.http",
+MODULES = ("agreed.document", "agreed.state", "channel", "cluster.disk", "cluster.keys", "cluster.sealing",
+           "cluster.talk", "histogram", "lab.linear", "lowest", "memory.attempts", "memory.calls", "memory.counters",
+           "memory.deadlines", "memory.slots", "memory.world", "nearest", "operators", "raft.image", "raft.log",
+           "raft.messages", "raft.node", "raft.progress", "service.environment", "service.logs", "store.records",
+           "store.store", "tables", "terms", "wire.buffer", "wire.client", "wire.door", "wire.frames", "wire.http",
            "wire.probes", "wirehost.codec", "wirehost.translate", "wirehost.__main__")
 HERE = Path(__file__).parent
-PLAYED = [(path, kind) for folder, kind in (("scenarios", Stage), ("network", Network))
+PLAYED = [(path, kind) for folder, kind in (("scenarios", Stage), ("network", Network), ("cluster", ClusterStage))
           for path in sorted((HERE / folder).glob("*.txt"))]
+CHECKS: dict[str, Callable[[], None]] = {
+    **{f"store {name[6:]}": check for name, check in vars(check_store).items() if name.startswith("check_")},
+    **{f"raft {name}": check for name, check in check_raft.CHECKS.items()},
+    **{f"members {name}": check for name, check in check_members.CHECKS.items()}}
+SLOW = 5.0      # s, then a test is named
 
 
-def main() -> int:
+def tried(name: str, test: Callable[[], None]) -> bool:
+    """Whether a test passes; any failure of it is told in one line."""
+    began = time.monotonic()
+    try:
+        test()
+    except Exception as error:
+        print(f"{name}: {type(error).__name__}: {error}", flush=True)
+        return False
+    if time.monotonic() - began > SLOW:
+        print(f"{name}: {time.monotonic() - began:.0f} s", flush=True)
+    return True
+
+
+def main(only: str) -> int:
     passed = failed = 0
     for name in MODULES:
-        result = doctest.testmod(importlib.import_module("lifthinge." + name))
-        failed += result.failed
-        passed += result.attempted - result.failed
+        if only in name:
+            result = doctest.testmod(importlib.import_module("lifthinge." + name))
+            failed += result.failed
+            passed += result.attempted - result.failed
     logging.disable()   # what is logged of bad input is counted, too
-    for path, kind in PLAYED:
-        try:
-            kind().run(path.read_text())
-            passed += 1
-        except Exception as error:  # any failure of a scenario is a failed test
-            failed += 1
-            print(f"{path.name}: {type(error).__name__}: {error}")
+    tests = [(path.name, lambda path=path, kind=kind: kind().run(path.read_text())) for path, kind in PLAYED]
+    for name, test in [*tests, *CHECKS.items()]:
+        if only in name:
+            good = tried(name, test)
+            passed, failed = passed + good, failed + (not good)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1] if len(sys.argv) > 1 else ""))
--- /dev/null
+++ b/tests/check_members.py
@@ -0,0 +1,251 @@
+"""Members on loopback: links that refuse what is not meant for them, one member end to end, and a short drill."""
+import asyncio
+import os
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from lifthinge.agreed.commands import Accepted, Opened, Outdated, Propose
+from lifthinge.cluster import talk
+from lifthinge.cluster.client import AgreedClient
+from lifthinge.cluster.disk import Cluster, open_disk
+from lifthinge.cluster.follower import AgreedFollower
+from lifthinge.cluster.keys import KeyFile, Keys, read_keys
+from lifthinge.cluster.link import Link
+from lifthinge.cluster.member import MemberServer, Seat
+from lifthinge.cluster.sealing import FORM, HEAD, Hello, Opener, Sealer, read_hello, sign, talk_of
+from lifthinge.raft.messages import Member, Roster, TimeoutNow, encode
+from lifthinge.raft.node import Pace
+from lifthinge.service.run import make_books
+from lifthinge.store.files import Files
+
+KEY, OTHER, CLIENT = b"k" * 32, b"o" * 32, b"c" * 32
+PATIENCE = 20.0     # s
+PACE = Pace(election=100.0, beat=20.0)
+
+
+class Heard:
+    """A listening end that notes what it hears."""
+
+    def __init__(self) -> None:
+        self.books = make_books(3, 256)
+        self.bodies: list[bytes] = []
+        self.keys = {"member": Keys("k", {"k": KEY}), "client": Keys("c", {"c": CLIENT})}
+
+    async def open(self) -> tuple[str, int]:
+        def make() -> Link:
+            link = Link(self.books, lambda role: self.keys[role], "depots", "b")
+            link.heard = lambda link, body: self.bodies.append(body)
+            return link
+        server = await asyncio.get_running_loop().create_server(make, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[:2]
+
+
+async def _meet(where, hello: Hello, key: bytes) -> tuple:
+    """A stranger's or member's end, by hand: reader, writer, and what seals once the other has answered."""
+    reader, writer = await asyncio.open_connection(*where)
+    frame = sign(hello, key)
+    writer.write(len(frame).to_bytes(HEAD, "big") + frame)
+    try:
+        size = int.from_bytes(await reader.readexactly(HEAD), "big")
+        found = read_hello(await reader.readexactly(size), {hello.key: key})
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return reader, writer, None
+    return reader, writer, Sealer(key, talk_of(hello, found), b"out")
+
+
+def _hello(**changes) -> Hello:
+    fields = {"form": FORM, "cluster": "depots", "sender": "a", "receiver": "b", "role": "member", "key": "k",
+              "nonce": os.urandom(16), **changes}
+    return Hello(**fields)
+
+
+async def _ended(reader) -> bool:
+    try:
+        return await asyncio.wait_for(reader.read(1), PATIENCE) == b""
+    except ConnectionError:
+        return True
+
+
+def check_links_refuse() -> None:
+    """A wrong cluster, receiver, key, role or form is met with an end, and nothing is heard."""
+    async def play() -> None:
+        heard = Heard()
+        where = await heard.open()
+        for changes, key in (({"cluster": "other"}, KEY), ({"receiver": "c"}, KEY), ({"key": "old"}, OTHER), ({}, OTHER),
+                             ({"role": "client"}, KEY), ({"form": 9}, KEY), ({"nonce": b"short"}, KEY),
+                             ({"key": "c"}, CLIENT)):
+            reader, _, sealer = await _meet(where, _hello(**changes), key)
+            assert sealer is None and await _ended(reader), changes
+        assert not heard.bodies and heard.books.counters.get("link_refused") == 8
+    asyncio.run(asyncio.wait_for(play(), PATIENCE))
+
+
+def check_frames_bound() -> None:
+    """A frame doubled, left out, from another connection, changed, or over-long ends the connection it came on."""
+    async def play() -> None:
+        heard = Heard()
+        where = await heard.open()
+
+        async def sends(make, good: int) -> None:
+            before = len(heard.bodies)
+            reader, writer, sealer = await _meet(where, _hello(), KEY)
+            writer.write(make(sealer))
+            assert await _ended(reader)
+            assert len(heard.bodies) - before == good, make
+        _, _, elsewhere = await _meet(where, _hello(), KEY)
+        foreign = elsewhere.seal(b"x")
+        await sends(lambda sealer: (frame := sealer.seal(b"x")) + frame, 1)
+        await sends(lambda sealer: sealer.seal(b"1")[:0] + sealer.seal(b"2"), 0)
+        await sends(lambda sealer: foreign, 0)
+        await sends(lambda sealer: sealer.seal(b"x")[:-1] + b"y", 0)
+        await sends(lambda sealer: sealer.seal(b"a") + (1 << 30).to_bytes(4, "big") + b"z", 1)
+        one, two = None, None
+
+        def swapped(sealer):
+            one, two = sealer.seal(b"1"), sealer.seal(b"2")
+            return two + one
+        await sends(swapped, 0)
+    asyncio.run(asyncio.wait_for(play(), PATIENCE))
+
+
+def check_keys_change() -> None:
+    """While a key changes both are valid; afterwards the old one is not."""
+    async def play() -> None:
+        heard = Heard()
+        where = await heard.open()
+        heard.keys["member"] = Keys("new", {"new": OTHER, "k": KEY})
+        reader, writer = await asyncio.open_connection(*where)
+        hello = _hello()
+        frame = sign(hello, KEY)
+        writer.write(len(frame).to_bytes(HEAD, "big") + frame)
+        size = int.from_bytes(await reader.readexactly(HEAD), "big")
+        found = read_hello(await reader.readexactly(size), {"new": OTHER})
+        assert isinstance(found, Hello) and found.sender == "b"
+        writer.write(Sealer(KEY, talk_of(hello, found), b"out").seal(b"on"))
+        while not heard.bodies:
+            await asyncio.sleep(0)
+        heard.keys["member"] = Keys("new", {"new": OTHER})
+        reader, _, sealer = await _meet(where, _hello(), KEY)
+        assert sealer is None and await _ended(reader)
+    asyncio.run(asyncio.wait_for(play(), PATIENCE))
+
+
+class Trio:
+    """Members in this process, on loopback, each with a folder."""
+
+    def __init__(self, names: str = "abc") -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        for name, key in (("members", KEY), ("clients", CLIENT)):
+            path = self.folder / name
+            path.touch(mode=0o600)
+            path.write_text(f"{name[0]} {key.hex()}\n")
+        self.names, self.books = names, make_books(11, 1024)
+        self.servers: dict[str, MemberServer] = {}
+        self.failed: list[str] = []
+        self.keys = KeyFile(str(self.folder / "clients"), read_keys(str(self.folder / "clients")))
+        member_keys = read_keys(str(self.folder / "members"))
+        self.by_role = {"member": member_keys, "client": self.keys.keys}
+        self.where: dict[str, tuple[str, int]] = {}
+
+    async def start(self, name: str, first: Roster) -> None:
+        disk = open_disk(Files(self.folder / f"disk-{name}"))
+        if disk.cluster is None:
+            disk.begin(Cluster("depots", name, first))
+        seat = Seat("depots", name, self.where[name], PACE, lambda role: self.by_role[role])
+        server = MemberServer(seat, self.books, disk, self.failed.append)
+        await server.start()
+        self.servers[name] = server
+
+    async def start_all(self) -> None:
+        import socket
+        held = []
+        for name in self.names:
+            held.append(socket.create_server(("127.0.0.1", 0)))
+            self.where[name] = held[-1].getsockname()
+        for one in held:
+            one.close()
+        first = Roster(tuple(Member(name, "%s:%d" % self.where[name]) for name in self.names))
+        for name in self.names:
+            await self.start(name, first)
+
+    def client(self) -> AgreedClient:
+        return AgreedClient(self.books, self.where, "depots", "test", self.keys)
+
+    async def stop(self) -> None:
+        for server in self.servers.values():
+            await server.stop()
+
+
+def check_member_end_to_end() -> None:
+    """Proposals, compare and set, repeats, reads, a front end that never goes back, a restart that catches up."""
+    async def play() -> None:
+        trio = Trio()
+        await trio.start_all()
+        client, told = trio.client(), []
+        follower = AgreedFollower(trio.books, trio.where, "depots", "front", trio.keys, told.append)
+        task = asyncio.create_task(follower.run())
+        until = trio.books.now + 15_000.0
+        first = await client.propose({"zones": [{"name": "a", "share": 0.5}]}, 0, "op", 1.0, until)
+        assert isinstance(first, Accepted) and first.version == 1, first
+        body = msgspec.msgpack.encode({"zones": [{"name": "a", "share": 0.5}]})
+        again = await client.ask(Propose(client.session, client.number, 0, 1.0, "op", body), until)
+        assert again == first, again
+        late = await client.propose({}, 0, "op", 1.0, until)
+        assert late == Outdated(1), late
+        bad = await client.propose({"zones": [{"nam": "a"}]}, 1, "op", 1.0, until)
+        assert isinstance(bad, talk.Sorry) and "did you mean name" in bad.why, bad
+        shown = await client.ask(talk.Show(), until)
+        assert shown.version == 1 and shown.body == body
+        while not told:
+            await trio.books.pause(10.0)
+        leader = next(name for name, one in trio.servers.items() if one.raft.leader == name)
+        await trio.servers.pop(leader).stop()
+        second = await client.propose({}, 1, "op", 2.0, trio.books.now + 15_000.0)
+        assert isinstance(second, Accepted) and second.version == 2, second
+        await trio.start(leader, Roster())
+        while not trio.servers[leader].ready:
+            await trio.books.pause(10.0)
+        assert trio.servers[leader].state.version == 2
+        while told[-1].version < 2:
+            await trio.books.pause(10.0)
+        assert [one.version for one in told] == sorted({one.version for one in told})
+        task.cancel()
+        client.close()
+        await trio.stop()
+        assert not trio.failed, trio.failed
+    asyncio.run(asyncio.wait_for(play(), 60.0))
+
+
+def check_bounds_refuse_at_once() -> None:
+    """Over a bound a proposal is refused at once, with the reason and who leads; a member alone says nobody leads."""
+    async def play() -> None:
+        trio = Trio("a")
+        trio.where = {}
+        await trio.start_all()
+        client = trio.client()
+        opened = await client.ask(talk.Begin(b"n"), trio.books.now + 10_000.0)
+        assert isinstance(opened, Opened), opened
+        server = trio.servers["a"]
+        server.raft.pace = Pace(election=100.0, beat=20.0, pending_entries=0)
+        link = await client._reach()
+        body = msgspec.msgpack.encode({})
+        began = trio.books.now
+        reply = await link.ask(Propose(opened.session, 1, 0, 0.0, "op", body))
+        assert reply == talk.Sorry("busy", "a", "%s:%d" % trio.where["a"]), reply
+        huge = await link.ask(Propose(opened.session, 2, 0, 0.0, "op", bytes((1 << 20) + 1)))
+        assert huge.why == "document: too large" and trio.books.now - began < 1_000.0, huge
+        client.close()
+        await trio.stop()
+    asyncio.run(asyncio.wait_for(play(), 60.0))
+
+
+def check_drill() -> None:
+    """Twenty seconds of kills, stops and cuts among five processes."""
+    from lifthinge.lab.raftdrill import run
+    result = run(5, 20.0, 3)
+    assert result["ok"] and result["kills"] + result["cuts"] > 3, result
+
+
+CHECKS = {name[6:]: check for name, check in list(globals().items()) if name.startswith("check_")}
--- /dev/null
+++ b/tests/play/stage.py
@@ -0,0 +1,256 @@
+"""Plays a scenario: a text of canned events and of what must be seen after them.
+
+A line holds statements, parted by `;`: a word and its arguments. `#` starts a comment. Names of backends are
+single words, slices and proxies are numbers, times are milliseconds.
+
+    terms KEY=VALUE ..      the site's terms, before anything else
+    at T                    play on until T: timers, standing reports and confirmations come as they fall due
+    list a ready|draining|gone [zone=Z] [size=S] [started=T]     news of one backend, or a,b
+    fleet a b c             ready backends, in zones 0, 1, 2, 0 and so on
+    hand a,b|- [zone:SHARE ..] [method=WORTH ..]    what the operators agreed on
+    missed                  the list could not be had
+    join N .. / leave N     proxies come, one goes
+    given S a:W b:W / taken S
+    heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
+    once a TOTAL ABORTED TOOK                            one report beside them
+    confirm yes|no          whether seals are confirmed (after 100 ms)
+    channel free|held|unknown       what is heard of it from now on; unknown: the last call's fate
+    kill                    the instance dies; the next one knows nothing
+    clear                   forget what was ordered so far, for `said`, `sent` and `asked`
+
+and, as assertions: `owner S a`, `part S a P` (of a slice's
+RPCs, were it let in), `bare S`, `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
+`unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
+wait, at most), `followed N`, `bound N`, `repeated N` (calls), `forgot a`. In all scenarios a slice keeps
+an open line while one is ready.
+"""
+from dataclasses import replace
+
+from lifthinge.choice import Choice
+from lifthinge.interface import (
+    Backend, BindProxy, ByHand, ChannelState, ClearTable, FleetNews, Forget, Form, FollowList, Leased, Listing,
+    Method, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel,
+    SetLine, ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
+
+TERMS = SiteTerms(
+    methods=(Method(1500.0, 5000.0, 1.0), Method(800.0, 2000.0, 3.0)),
+    sliced=True, one_owner=False, news_on_request=False, sizes_told=True, levels="ratio", report_every=1000.0,
+    channel_rate=5.0, head_lines=10.0, pending_max=7500.0, pushes_allowed=0, update_window=10000.0,
+    warm_up=16000.0)
+
+
+class Stage:
+    """One instance, the canned events still to come, and what its orders add up to."""
+
+    def __init__(self) -> None:
+        self.terms, self.now, self.choice = TERMS, 0.0, None
+        self.names: dict = {}
+        self.reports: dict = {}
+        self.due: list = []
+        self.confirming = True
+        self.reborn()
+
+    def reborn(self) -> None:
+        self.choice, self.joined, self.tables, self.out, self.levels = None, {}, {}, set(), {}
+        self.said, self.sent, self.followed, self.bound, self.waiting = [], 0, 0, set(), {}
+        self.forgotten: set[Backend] = set()
+        self.next_report, self.due = self.now + self.terms.report_every, []
+        self.state, self.repeats, self.sealed = None, 0, 0
+
+    def name(self, kind: type, name: str) -> object:
+        key = kind, name
+        if key not in self.names:
+            self.names[key] = Backend(name, name) if kind is Backend else kind(int(name))
+        return self.names[key]
+
+    def tell(self, *events: object) -> None:
+        """Hands over one batch and takes in its orders."""
+        if self.choice is None:
+            self.choice = Choice(self.terms, 7)
+        lines, marks = 0, []
+        for order in self.choice.decide(self.now, [self.state, *events] if self.state else events):
+            lines += isinstance(order, (SetLine, ShutOut, SetLevel, ClearTable, Seal))
+            self.take(order)
+            marks += [order.number] if isinstance(order, Seal) else []
+        for number in marks:
+            self.sealed = number
+            self.waiting[number] = (lines + self.terms.head_lines) * len(self.joined)
+            if self.confirming:
+                answers = [SealConfirmed(p, number, 100.0) for p in self.joined]
+                self.due.append((self.now + 100.0, answers, number))
+        ready = any(kind is Backend and one.phase is Phase.READY for (kind, _), one in self.names.items())
+        for slice_, lines_ in self.tables.items() if ready else ():
+            assert not lines_ or any(b not in self.out for b in lines_), f"slice {slice_.number} is left bare"
+
+    def take(self, order: object) -> None:
+        if isinstance(order, SetLine):
+            self.names.setdefault((Slice, str(order.slice.number)), order.slice)
+            table = self.tables.setdefault(order.slice, {})
+            table[order.backend] = order.weight
+            if not order.weight:
+                del table[order.backend]
+        elif isinstance(order, ShutOut):
+            (self.out.add if order.out else self.out.discard)(order.backend)
+        elif isinstance(order, SetLevel):
+            assert order.retry <= Retry.NEVER_RAN, "an effect may come twice"
+            for slice_ in [order.slice] if order.slice else self.tables:
+                self.levels.update({(slice_, k): min(order.level, 1.0) for k in order.methods})
+        elif isinstance(order, Wake):
+            self.due.append((self.now + order.delay, [TimerDue(order.handle)], 0))
+        elif isinstance(order, Say):
+            self.said.append(order.text)
+        elif isinstance(order, Forget):
+            assert not any(order.backend in table for table in self.tables.values()), "a table names it"
+            self.forgotten.add(order.backend)
+        self.followed += isinstance(order, FollowList)
+        self.repeats += isinstance(order, RepeatCall)
+        self.bound |= {order.proxy} if isinstance(order, BindProxy) else set()
+        self.sent += isinstance(order, (SetLine, ShutOut, SetLevel))
+
+    def play_to(self, until: float) -> None:
+        while True:
+            at = min([entry[0] for entry in self.due] + [self.next_report])
+            if at > until:
+                break
+            self.now = at
+            if at == self.next_report:
+                self.next_report += self.terms.report_every
+                self.tell(*(make() for make in self.reports.values()))
+                continue
+            entry = min(self.due, key=lambda one: one[0])
+            self.due.remove(entry)
+            self.waiting.pop(entry[2], None)
+            self.tell(*entry[1])
+        self.now = until
+
+    def run(self, text: str) -> None:
+        for number, raw in enumerate(text.splitlines(), 1):
+            for words in filter(None, map(str.split, raw.split("#")[0].split(";"))):
+                try:
+                    getattr(self, "do_" + words[0])(*words[1:])
+                except AssertionError as error:
+                    raise AssertionError(f"line {number} ({' '.join(words)}): {error}") from None
+
+    def do_terms(self, *pairs: str) -> None:
+        values = dict(pair.split("=") for pair in pairs)
+        self.terms = replace(self.terms, **{
+            key: value if key == "levels" else type(getattr(TERMS, key))(float(value))
+            for key, value in values.items()})
+
+    def do_at(self, until: str) -> None:
+        self.play_to(float(until))
+
+    def do_list(self, name: str, phase: str, *pairs: str) -> None:
+        facts = dict(pair.split("=") for pair in pairs)
+        self.tell(FleetNews(Form.DELTA, [Listing(
+            self.name(Backend, one), int(facts.get("zone", 0)), 0, Phase(phase),
+            float(facts.get("started", 0)), float(facts.get("size", 1))) for one in name.split(",")]))
+
+    def do_hand(self, out: str, *parts: str) -> None:
+        shares = dict(part.split(":") for part in parts if ":" in part)
+        worth = dict(part.split("=") for part in parts if "=" in part)
+        self.tell(ByHand([self.name(Backend, one) for one in out.split(",") if one != "-"],
+                         {int(zone): float(share) for zone, share in shares.items()},
+                         {int(method): float(one) for method, one in worth.items()}))
+
+    def do_missed(self) -> None:
+        self.tell(FleetNews(Form.MISSED, []))
+
+    def do_fleet(self, *names: str) -> None:
+        for place, name in enumerate(names):
+            self.do_list(name, "ready", f"zone={place % 3}")
+
+    def do_join(self, *numbers: str) -> None:
+        for number in numbers:
+            proxy = self.name(Proxy, number)
+            self.joined[proxy] = None
+            self.tell(ProxyJoined(proxy, True))
+
+    def do_leave(self, number: str) -> None:
+        self.joined.pop(self.name(Proxy, number), None)
+        self.tell(ProxyLeft(self.name(Proxy, number)))
+
+    def do_given(self, number: str, *lines: str) -> None:
+        slice_ = self.name(Slice, number)
+        pairs = [(self.name(Backend, line.split(":")[0]), float(line.split(":")[1])) for line in lines]
+        self.tables[slice_] = dict(pairs)
+        self.levels = {key: level for key, level in self.levels.items() if key[0] is not slice_}
+        self.tell(Leased(slice_, True), *(StoredLine(slice_, backend, weight) for backend, weight in pairs))
+
+    def do_taken(self, number: str) -> None:
+        self.tables.pop(self.name(Slice, number), None)
+        self.tell(Leased(self.name(Slice, number), False))
+
+    def do_heard(self, name: str, total: str, aborted: str, took: str) -> None:
+        self.reports["heard", name] = lambda: TriesReport(
+            0, self.name(Backend, name), int(total), int(aborted), float(took), self.terms.report_every, ())
+
+    def do_once(self, name: str, total: str, aborted: str, took: str) -> None:
+        self.tell(TriesReport(0, self.name(Backend, name), int(total), int(aborted), float(took),
+                              self.terms.report_every, ()))
+
+    def do_heat(self, number: str, total: str, periods: str = "1") -> None:
+        span = self.terms.report_every * int(periods)
+        self.reports["heat", number] = lambda: TimerDue(0) if self.now % span else SliceHeat(
+            self.name(Slice, number), 0, int(total), 0, span)
+
+    def do_confirm(self, word: str) -> None:
+        self.confirming = word == "yes"
+
+    def do_channel(self, state: str) -> None:
+        self.state = ChannelState(state == "free", self.sealed if state == "unknown" else 0)
+        self.tell()
+
+    def do_repeated(self, count: str) -> None:
+        assert self.repeats == int(count), f"it was {self.repeats} times"
+
+    def do_kill(self) -> None:
+        self.names = {key: value for key, value in self.names.items() if key[0] is not Backend}
+        self.reborn()
+
+    def do_clear(self) -> None:
+        self.said, self.sent = [], 0
+
+    def do_owner(self, number: str, name: str) -> None:
+        lines = {b: w for b, w in self.tables[self.name(Slice, number)].items() if b not in self.out}
+        found = max(lines, key=lines.get).name
+        assert found == name, f"it is {found}"
+
+    def do_part(self, number: str, name: str, part: str) -> None:
+        table, backend = self.tables[self.name(Slice, number)], self.name(Backend, name)
+        beside = sum(w for b, w in table.items() if b is not backend and b not in self.out)
+        found = table.get(backend, 0.0) / ((table.get(backend, 0.0) + beside) or 1.0)
+        assert abs(found - float(part)) < 0.01, f"it is {found}"
+
+    def do_out(self, name: str) -> None:
+        assert self.name(Backend, name) in self.out, "it is in"
+
+    def do_forgot(self, name: str) -> None:
+        assert self.name(Backend, name) in self.forgotten, "it is kept"
+        assert self.name(Backend, name) not in self.choice.backends, "the decisions keep it"
+
+    def do_in(self, name: str) -> None:
+        assert self.name(Backend, name) not in self.out, "it is out"
+
+    def do_level(self, number: str, method: str, part: str) -> None:
+        key = self.name(Slice, number), int(method)
+        found = self.levels.get(key)
+        assert found is not None and abs(found - float(part)) < 1e-6, f"it is {found}"
+
+    def do_said(self, *words: str) -> None:
+        assert any(" ".join(words) in text for text in self.said), f"it said {self.said}"
+
+    def do_unsaid(self, *words: str) -> None:
+        assert not any(" ".join(words) in text for text in self.said), f"it said {self.said}"
+
+    def do_sent(self, count: str) -> None:
+        assert self.sent > 0 if count == "some" else self.sent == int(count), f"it sent {self.sent}"
+
+    def do_queued(self, most: str) -> None:
+        assert sum(self.waiting.values()) <= float(most), f"{sum(self.waiting.values())} lines wait"
+
+    def do_followed(self, count: str) -> None:
+        assert self.followed == int(count), f"it asked {self.followed} times"
+
+    def do_bound(self, count: str) -> None:
+        assert len(self.bound) == int(count), f"{len(self.bound)} are bound"
