--- a/lifthinge/cluster/disk.py
+++ b/lifthinge/cluster/disk.py
@@ -13,9 +13,10 @@
 >>> disk.store.close()
 """
 import asyncio
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Callable, Iterable, Union
+from queue import SimpleQueue
+from threading import Thread
+from typing import Callable, Iterable, Optional, Union
 
 import msgspec
 
@@ -132,7 +133,10 @@
         self.disk, self._done, self._failed = disk, done, failed
         self._waiting: list[Write] = []
         self._busy = self._closed = False
-        self._thread = ThreadPoolExecutor(1, "store")
+        self._due: SimpleQueue[Optional[list[Write]]] = SimpleQueue()
+        self._loop = asyncio.get_running_loop()
+        self._thread = Thread(target=self._run, name="store", daemon=True)
+        self._thread.start()
         self.batches = self.writes = 0
 
     def give(self, writes: list[Write]) -> None:
@@ -144,14 +148,26 @@
             return
         batch, self._waiting, self._busy = self._waiting, [], True
         self.batches, self.writes = self.batches + 1, self.writes + len(batch)
-        future = asyncio.get_running_loop().run_in_executor(self._thread, self.disk.carry_out, batch)
-        future.add_done_callback(lambda future: self._ended(future, batch[-1].number))
-
-    def _ended(self, future: asyncio.Future, number: int) -> None:
+        self._due.put(batch)
+
+    def _run(self) -> None:
+        """The thread: one batch after the other; the loop hears of each at once."""
+        while (batch := self._due.get()) is not None:
+            error = None
+            try:
+                self.disk.carry_out(batch)
+            except Exception as found:
+                error = found
+            try:
+                self._loop.call_soon_threadsafe(self._ended, error, batch[-1].number)
+            except RuntimeError:    # the loop is closed: nobody waits any more
+                return
+
+    def _ended(self, error: Optional[Exception], number: int) -> None:
         self._busy = False
-        if future.cancelled() or self._closed:
+        if self._closed:
             return
-        if error := future.exception():
+        if error is not None:
             self._closed = True
             self._failed(error)
             return
@@ -161,5 +177,6 @@
     def close(self) -> None:
         """Lets what is under way end, then gives the folder back."""
         self._closed = True
-        self._thread.shutdown(wait=True)
+        self._due.put(None)
+        self._thread.join()
         self.disk.store.close()
--- a/lifthinge/cluster/member.py
+++ b/lifthinge/cluster/member.py
@@ -29,7 +29,8 @@
 READ_WAIT = 3_000.0             # ms that a read may wait for a round and for what is to be applied
 TOUCH_LEAST = 2.0               # election time-outs without a majority: then it says so
 CLIENTS_MOST, ASKS_MOST, ASKS_EACH = 2_000, 8_192, 512
-SNAPSHOT_ENTRIES, SNAPSHOT_BYTES = 20_000, 16 << 20     # of the log behind the last snapshot: time for another
+SNAPSHOT_ENTRIES, SNAPSHOT_BYTES = 20_000, 20 << 20     # behind the last snapshot, or held: time for another
+SNAPSHOT_LATEST = 3.0           # times that, while one is on its way to a member
 HISTORY_PAGE = 200
 CATCH_UP_EVERY = 200.0          # ms between a fresh member's questions to the leader
 
@@ -199,18 +200,14 @@
                                                                        **self._leader()))
 
     def _compact(self) -> None:
-        behind = self.state.index - self.raft.log.snapshot.index
-        if behind < SNAPSHOT_ENTRIES and (behind < 100 or self._log_bytes() < SNAPSHOT_BYTES):
-            return
-        if behind < 4 * SNAPSHOT_ENTRIES and self.raft.sending_snapshot:
+        behind, size = self.state.index - self.raft.log.snapshot.index, self.raft.log.bytes
+        due = max(behind / SNAPSHOT_ENTRIES, size / SNAPSHOT_BYTES)
+        if due < 1 or due < SNAPSHOT_LATEST and self.raft.sending_snapshot:
             return
         if self.raft.compact(self.state.index, self.state.export()):
             self.books.counters.add("member.snapshots")
             self._wake()
 
-    def _log_bytes(self) -> int:
-        return self.raft.log.bytes_from(self.raft.log.snapshot.index + 1) if self.state.index % 64 == 0 else 0
-
     def _press_reads(self) -> None:
         waiting, self._to_apply = self._to_apply, []
         for index, token in waiting:
--- a/lifthinge/lab/raftworld.py
+++ b/lifthinge/lab/raftworld.py
@@ -210,11 +210,7 @@
         host = self.hosts[name]
         if host.raft is not None and host.state.index:
             host.raft.compact(host.state.index, host.state.export())
-            log = host.raft.log
-            first = max(log.snapshot.index - KEPT_ENTRIES, log.base[0])
-            base = first, log.term_at(first)
-            del log.entries[:first - log.base[0]]
-            log.base = base
+            host.raft.log.compact(host.raft.log.snapshot, KEPT_ENTRIES)
             self._take(host)
 
     def follow(self, name: str) -> None:
--- a/lifthinge/raft/log.py
+++ b/lifthinge/raft/log.py
@@ -29,6 +29,7 @@
     def __init__(self, snapshot: Snapshot = Snapshot(), entries: Iterable[Entry] = ()) -> None:
         self.snapshot, self.base = snapshot, (snapshot.index, snapshot.term)
         self.entries: list[Entry] = []
+        self.bytes = 0      # that the entries held count
         # Where the roster changed, oldest first: a cut takes the latest back.
         self.rosters: list[tuple[int, Roster]] = [(snapshot.index, snapshot.roster)]
         self.append(entries)
@@ -103,26 +104,32 @@
         for one in entries:
             assert one.index == self.last_index + 1, "a gap in the log"
             self.entries.append(one)
+            self.bytes += len(one.data) + ENTRY_COST
             self._note_roster(one)
 
     def cut(self, first: int) -> None:
         """Takes out all entries from `first` on, and the rosters that they brought."""
         assert first > self.snapshot.index, "cuts into the snapshot"
+        self.bytes -= self.bytes_from(first)
         del self.entries[first - self.base[0] - 1:]
         while self.rosters[-1][0] >= first:
             self.rosters.pop()
 
-    def compact(self, snapshot: Snapshot, keep: int = 0) -> None:
-        """Lets a snapshot stand for all up to its last entry; `keep` entries before that stay at hand.
+    def compact(self, snapshot: Snapshot, keep: int = 0, keep_bytes: int = 1 << 62) -> None:
+        """Lets a snapshot stand for all up to its last entry; `keep` entries before that, or less, stay at hand.
 
         What follows stays if it follows on: else the snapshot is of another history than ours.
         """
         if self.term_at(snapshot.index) == snapshot.term:
-            first = max(snapshot.index - keep, self.base[0])
+            first = snapshot.index
+            while first > max(snapshot.index - keep, self.base[0]) and keep_bytes >= 0:
+                keep_bytes -= len(self.entries[first - self.base[0] - 1].data) + ENTRY_COST
+                first -= 1
             base = first, self.term_at(first)
+            self.bytes = self.bytes_from(first + 1)
             del self.entries[:first - self.base[0]]
         else:
-            base, self.entries = (snapshot.index, snapshot.term), []
+            base, self.entries, self.bytes = (snapshot.index, snapshot.term), [], 0
         self.snapshot, self.base = snapshot, base
         later = [one for one in self.rosters if one[0] > snapshot.index] if self.entries else []
         self.rosters = [(snapshot.index, snapshot.roster), *later]
--- a/lifthinge/raft/node.py
+++ b/lifthinge/raft/node.py
@@ -36,7 +36,7 @@
 
 NEVER = float("inf")
 RECHECK_PART = 0.5      # of the election time-out: when what is under way counts as lost
-KEEP_ENTRIES = 5_000    # before the snapshot, for who lags a little
+KEEP_ENTRIES, KEEP_BYTES = 5_000, 4 << 20   # before the snapshot, for who lags a little
 SNAPSHOT_MOST = 64 << 20
 
 
@@ -249,7 +249,7 @@
         if not self.log.snapshot.index < index <= self.applied:
             return None
         snapshot = Snapshot(index, self.log.term_at(index), self.log.roster_at(index), data, mark_of(data))
-        self.log.compact(snapshot, KEEP_ENTRIES)
+        self.log.compact(snapshot, KEEP_ENTRIES, KEEP_BYTES)
         self._writing().snapshot = snapshot
         return snapshot
 
