--- a/lifthinge/cluster/member.py
+++ b/lifthinge/cluster/member.py
@@ -1,6 +1,7 @@
 """A member of the cluster on sockets: drives the protocol, the disk and the agreed state, and answers clients."""
 import asyncio
 import logging
+from collections import deque
 from dataclasses import dataclass
 from typing import Any, Callable, Optional, Union
 
@@ -18,7 +19,7 @@
 from lifthinge.memory.books import Books
 from lifthinge.raft import messages
 from lifthinge.raft.messages import Entry, Kind, Snapshot
-from lifthinge.raft.node import Pace, Raft, Refused, Role, Why
+from lifthinge.raft.node import NEVER, Pace, Raft, Refused, Role, Why
 from lifthinge.wire.connection import connect
 
 log = logging.getLogger(__name__)
@@ -32,6 +33,7 @@
 SNAPSHOT_ENTRIES, SNAPSHOT_BYTES = 20_000, 20 << 20     # behind the last snapshot, or held: time for another
 SNAPSHOT_LATEST = 3.0           # times that, while one is on its way to a member
 HISTORY_PAGE = 200
+KEPT_MOST = 16                  # messages to a member that is being dialled
 CATCH_UP_EVERY = 200.0          # ms between a fresh member's questions to the leader
 
 
@@ -70,6 +72,7 @@
         self._out: dict[str, Link] = {}             # by member: the link that we dialled
         self._from: dict[str, Link] = {}            # by member: the latest that it dialled
         self._dialling: set[str] = set()
+        self._kept: dict[str, deque[messages.Message]] = {}     # said while a member is being dialled
         self._dial_wait: dict[str, float] = {}
         self._followers: dict[Link, int] = {}       # front ends: the number of their question
         self._each: dict[Link, int] = {}
@@ -88,6 +91,7 @@
         self._server = await asyncio.get_running_loop().create_server(self._accept, *self.seat.listen, backlog=512)
         self._turn()
         self._catch_up()
+        self._look_around()
 
     @property
     def where(self) -> Address:
@@ -141,19 +145,31 @@
         self._arm()
 
     def _arm(self) -> None:
-        due = min(self.raft.due, self.books.now + self.seat.pace.election)
-        if self._tick is None or not self._tick.pending or due < self._tick.at - 1 or due > self._tick.at + 1:
-            if self._tick is not None:
-                self._tick.cancel()
+        """A time that has moved on is not set anew each time: it is looked at once the former one is due."""
+        due = self.raft.due
+        if self._tick is not None and self._tick.pending:
+            if self._tick.at <= due:
+                return
+            self._tick.cancel()
+        if due < NEVER:
             self._tick = self.books.deadlines.set(due - self.books.now, self._ticked)
 
     def _ticked(self) -> None:
         if self._over:
             return
         self.raft.tick(self.books.now)
-        self._note_touch()
         self._turn()
 
+    def _look_around(self) -> None:
+        """Every election's time: links are up before they are needed, as an election waits for no dial."""
+        if self._over:
+            return
+        for one in self.raft.log.roster.members:
+            if one.name != self.seat.name:
+                self._reach(one.name)
+        self._note_touch()
+        self.books.deadlines.set(self.seat.pace.election, self._look_around)
+
     def _durable(self, number: int) -> None:
         if not self._over:
             self.raft.durable(number)
@@ -267,7 +283,15 @@
                 self.books.counters.add("member.sent")
             else:
                 self.books.counters.add("member.unsent")
-        elif to not in self._dialling and self.books.now >= self._dial_wait.get(to, 0.0):
+            return
+        self._reach(to)
+        if to in self._dialling:
+            waiting = self._kept.setdefault(to, deque(maxlen=KEPT_MOST))
+            waiting.append(message)
+
+    def _reach(self, to: str) -> None:
+        """Dials a member that no link goes to, unless that failed just now."""
+        if to not in self._dialling and to not in self._out and self.books.now >= self._dial_wait.get(to, 0.0):
             self._dialling.add(to)
             task = asyncio.get_running_loop().create_task(self._dial(to))
             self._tasks.add(task)
@@ -289,6 +313,7 @@
 
     def _redial_later(self, to: str) -> None:
         self._dialling.discard(to)
+        self._kept.pop(to, None)
         self._dial_wait[to] = self.books.now + self.books.dice.uniform(*REDIAL)
 
     def _link(self, dials: str = "") -> Link:
@@ -309,8 +334,11 @@
             self._out[link.dials] = link
             self._dialling.discard(link.dials)
             self.books.counters.add("member.links")
+            for message in self._kept.pop(link.dials, ()):
+                link.say(messages.encode(message))
         elif link.other.role == "member":
             self._from[link.other.sender] = link
+            self._dial_wait.pop(link.other.sender, None)    # it is back
 
     def _closed(self, link: Link) -> None:
         self._in.pop(link, None)
