--- a/lifthinge/agreed/document.py
+++ b/lifthinge/agreed/document.py
@@ -13,23 +13,17 @@
 >>> read_document({"backends": [{"id": "x", "reason": "disk", "until": 9}, {"id": "x", "reason": "fan"}]})
 Fault(key='backends[1].id', why='x is named twice')
 """
-from typing import Annotated, Any, NamedTuple, Union
+from typing import Annotated, Any, Union
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from lifthinge.nearest import nearest
+from lifthinge.schema import Fault, fault_of
 
 BACKENDS_MOST, ZONES_MOST, METHODS_MOST, REASON_MOST, NAME_MOST = 4_096, 256, 256, 400, 200
 DOCUMENT_MOST = 1 << 20     # bytes of one that is packed
 Name = Annotated[str, Field(min_length=1, max_length=NAME_MOST)]
 
 
-class Fault(NamedTuple):
-    """What is wrong with a document, and where."""
-    key: str
-    why: str
-
-
 class _Checked(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
 
@@ -73,26 +67,3 @@
                 return Fault(f"{part}[{place}].{key}", f"{name} is named twice")
             seen.add(name)
     return document
-
-
-def fault_of(error: ValidationError, model: type[BaseModel]) -> Fault:
-    """The first fault that the schema found, with the nearest name for one that it does not know."""
-    found = error.errors(include_url=False)
-    first = next((one for one in found if one["type"] == "extra_forbidden"), found[0])     # a name mistyped is missing, too
-    key = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in first["loc"]).lstrip(".")
-    if first["type"] != "extra_forbidden":
-        return Fault(key or "document", first["msg"])
-    known, fields = model, model.model_fields
-    for part in first["loc"][:-1]:
-        if isinstance(part, str) and part in fields:
-            known = _model_in(fields[part].annotation)
-            fields = known.model_fields if known else {}
-    like = nearest(str(first["loc"][-1]), fields)
-    return Fault(key, f"unknown; did you mean {like}?" if like else "unknown")
-
-
-def _model_in(annotation: Any) -> Union[type[BaseModel], None]:
-    """The model that a field's type is, or is a tuple, list or map of."""
-    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
-        return annotation
-    return next((found for one in getattr(annotation, "__args__", ()) if (found := _model_in(one))), None)
--- a/lifthinge/operators.py
+++ b/lifthinge/operators.py
@@ -16,7 +16,7 @@
 from lark.exceptions import UnexpectedInput
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-from lifthinge.agreed.document import fault_of
+from lifthinge.schema import fault_of
 
 FILE_MOST = 4 << 20
 Name = Annotated[str, Field(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9._-]+$")]
