--- a/lifthinge/cluster/member.py
+++ b/lifthinge/cluster/member.py
@@ -30,7 +30,7 @@
 READ_WAIT = 3_000.0             # ms that a read may wait for a round and for what is to be applied
 TOUCH_LEAST = 2.0               # election time-outs without a majority: then it says so
 CLIENTS_MOST, ASKS_MOST, ASKS_EACH = 2_000, 8_192, 512
-SNAPSHOT_ENTRIES, SNAPSHOT_BYTES = 20_000, 20 << 20     # behind the last snapshot, or held: time for another
+SNAPSHOT_BYTES = 20 << 20       # of the log held: time for a snapshot, however few entries they are
 SNAPSHOT_LATEST = 3.0           # times that, while one is on its way to a member
 HISTORY_PAGE = 200
 KEPT_MOST = 16                  # messages to a member that is being dialled
@@ -45,6 +45,7 @@
     listen: Address
     pace: Pace
     keys: Callable[[str], Keys]
+    snapshot_entries: int = 20_000      # behind the last snapshot: time for another
 
 
 @dataclass(eq=False, slots=True)
@@ -217,7 +218,7 @@
 
     def _compact(self) -> None:
         behind, size = self.state.index - self.raft.log.snapshot.index, self.raft.log.bytes
-        due = max(behind / SNAPSHOT_ENTRIES, size / SNAPSHOT_BYTES)
+        due = max(behind / self.seat.snapshot_entries, size / SNAPSHOT_BYTES)
         if due < 1 or due < SNAPSHOT_LATEST and self.raft.sending_snapshot:
             return
         if self.raft.compact(self.state.index, self.state.export()):
--- a/lifthinge/lab/raftbench.py
+++ b/lifthinge/lab/raftbench.py
@@ -70,8 +70,9 @@
     return (int(fields[11]) + int(fields[12])) / TICKS, resident / 1024
 
 
-async def _begin(size: int, folder: Path) -> Drill:
+async def _begin(size: int, folder: Path, snapshot_entries: int = 20_000) -> Drill:
     drill = Drill(size, 0, 1, folder, True)
+    drill.snapshot_entries = snapshot_entries
     for name in ("members.key", "clients.key"):
         (folder / name).touch(mode=0o600)
         (folder / name).write_text(f"k1 {os.urandom(32).hex()}\n")
@@ -165,6 +166,13 @@
     result: dict[str, Any] = {}
     with tempfile.TemporaryDirectory() as name:
         result["bare"] = {"sync": _quantiles(bare_sync(Path(name))), "echo": _quantiles(bare_echo())}
+    if entries:
+        with tempfile.TemporaryDirectory() as name:
+            drill = await _begin(3, Path(name), 10_000_000)
+            try:
+                result["catch_up_by_log"] = await _catch_up(drill, entries)
+            finally:
+                _end(drill)
     for size in sizes:
         with tempfile.TemporaryDirectory() as name:
             drill = await _begin(size, Path(name))
--- a/lifthinge/lab/raftdrill.py
+++ b/lifthinge/lab/raftdrill.py
@@ -33,6 +33,7 @@
 WATCH = 0.02                # s between looks at who leads
 SETTLE = 25.0               # s at the end for all to hold the same
 START_WAIT = 15.0
+SNAPSHOT_ENTRIES = 500      # few, so that members need snapshots
 NAMES = "abcdefghi"
 
 
@@ -62,6 +63,7 @@
         self.unknown = self.reads = self.follows = 0
         self.leaderless: list[float] = []
         self.over = False
+        self.snapshot_entries = SNAPSHOT_ENTRIES
 
     def say(self, *words: Any) -> None:
         if not self.quiet:
@@ -87,6 +89,7 @@
   client_key_file = "{self.folder / 'clients.key'}"
   election_ms     = {ELECTION}
   beat_ms         = {BEAT}
+  snapshot_entries = {self.snapshot_entries}
   start_with = {{
 {members}
   }}
--- a/lifthinge/operators.py
+++ b/lifthinge/operators.py
@@ -65,6 +65,7 @@
     start_with: dict[str, str] = {}     # the first members, alike at each; empty where it joins a running cluster
     election_ms: Annotated[float, Field(ge=50, le=60_000)] = 1_000.0
     beat_ms: Annotated[float, Field(ge=5, le=10_000)] = 100.0
+    snapshot_entries: Annotated[int, Field(ge=100, le=10_000_000)] = 20_000    # behind one, then comes another
 
     @field_validator("listen")
     @classmethod
--- a/lifthinge/service/member.py
+++ b/lifthinge/service/member.py
@@ -71,7 +71,7 @@
         over.set()
     disk = _open(part, path, kind)
     seat = Seat(part.cluster, part.name, split_address(part.listen),
-                Pace(election=part.election_ms, beat=part.beat_ms), keys)
+                Pace(election=part.election_ms, beat=part.beat_ms), keys, part.snapshot_entries)
     member = MemberServer(seat, books, disk, fatal)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, over.set)
--- a/tests/check_members.py
+++ b/tests/check_members.py
@@ -218,6 +218,41 @@
     asyncio.run(asyncio.wait_for(play(), 60.0))
 
 
+def check_document_reaches_decisions() -> None:
+    """What is agreed comes to the controller as `ByHand`, in its own objects, and `until` ends it by itself."""
+    from types import SimpleNamespace
+    from lifthinge.memory.world import World
+    from lifthinge.operators import AgreedPart
+    from lifthinge.service.agreed import AgreedDoor
+
+    async def play() -> None:
+        trio, told, world = Trio("a"), [], World()
+        await trio.start_all()
+        part = AgreedPart(cluster="depots", members={"a": "%s:%d" % trio.where["a"]},
+                          key_file=str(trio.folder / "clients"))
+        site = SimpleNamespace(zones=("za", "zb"), methods=("look", "scan"))
+        door = AgreedDoor(part, "n0", trio.books, world, site, told.extend, trio.keys)
+        task = asyncio.create_task(door.follower.run())
+        client = trio.client()
+        now = trio.books.now
+        reply = await client.propose(
+            {"backends": [{"id": "s-1", "reason": "disk", "until": now + 1_500.0}, {"id": "s-2", "reason": "fan"},
+                          {"id": "s-3", "reason": "long ago", "until": 1.0}],
+             "zones": [{"name": "zb", "share": 0.5}, {"name": "elsewhere", "share": 0.5}],
+             "methods": [{"name": "scan", "criticality": 9}]}, 0, "op", now, now + 10_000.0)
+        assert isinstance(reply, Accepted), reply
+        while len(told) < 2:
+            await trio.books.pause(10.0)
+        first, later = told[:2]
+        assert first.out == [world.backend("s-1"), world.backend("s-2")] and later.out == [world.backend("s-2")]
+        assert first.shares == {1: 0.5} and first.criticality == {1: 9.0}
+        task.cancel()
+        door.close()
+        client.close()
+        await trio.stop()
+    asyncio.run(asyncio.wait_for(play(), 60.0))
+
+
 def check_bounds_refuse_at_once() -> None:
     """Over a bound a proposal is refused at once, with the reason and who leads; a member alone says nobody leads."""
     async def play() -> None:
