Asks are counted as they come; a read-only folder is tested

Each ask added up all clients' asks; at two thousand clients that is two thousand additions an ask. A folder that can't be written is left as it is, and can be read.

--- a/lifthinge/cluster/member.py
+++ b/lifthinge/cluster/member.py
@@ -76,7 +76,8 @@
         self._kept: dict[str, deque[messages.Message]] = {}     # said while a member is being dialled
         self._dial_wait: dict[str, float] = {}
         self._followers: dict[Link, int] = {}       # front ends: the number of their question
-        self._each: dict[Link, int] = {}
+        self._each: dict[Link, int] = {}            # asks under way, by client
+        self._asks = 0
         self._proposed: dict[int, list[_Ask]] = {}  # by index
         self._reads: dict[_Ask, talk.Show] = {}
         self._to_apply: list[tuple[int, object]] = []       # reads that wait until this index is applied
@@ -385,7 +386,7 @@
         if type(what) is talk.Status:
             link.say(talk.pack(number, self._report()))
             return
-        if self._each.get(link, 0) >= ASKS_EACH or sum(self._each.values()) >= ASKS_MOST:
+        if self._each.get(link, 0) >= ASKS_EACH or self._asks >= ASKS_MOST:
             self.books.counters.add("member.busy")
             link.say(talk.pack(number, Sorry(Why.BUSY.value, **self._leader())))
             return
@@ -396,6 +397,7 @@
             link.say(talk.pack(number, Sorry("catching up", **self._leader())))
             return
         self._each[link] = self._each.get(link, 0) + 1
+        self._asks += 1
         ask.deadline = self.books.deadlines.set(
             READ_WAIT if type(what) in (talk.Show, talk.History) else ASK_WAIT, lambda: self._given_up(ask))
         if type(what) in (talk.Show, talk.History):
@@ -445,7 +447,8 @@
         if ask.deadline is not None:
             ask.deadline.cancel()
             ask.deadline = None
-            if self._each.get(ask.link, 0) > 0:
+            self._asks -= 1
+            if ask.link in self._each:
                 self._each[ask.link] -= 1
         self.books.counters.add(f"member.answers.{type(reply).__name__}")
         ask.link.say(talk.pack(ask.number, reply))
@@ -486,4 +489,4 @@
             raft.log.snapshot.index, self.state.version, self.state.digest, self.ready, self.in_touch, tuple(views),
             {"elections": raft.elections, "stepped_down": raft.stepped_down, "syncs": self.committer.disk.store.syncs,
              "batches": self.committer.batches, "writes": self.committer.writes,
-             "followers": len(self._followers), "asks": sum(self._each.values())})
+             "followers": len(self._followers), "asks": self._asks})
--- a/tests/check_store.py
+++ b/tests/check_store.py
@@ -1,7 +1,11 @@
 """The store under crashes: a folder in memory that loses what was not synced, cut and spoilt at every byte."""
+import errno
+import tempfile
 from dataclasses import dataclass
+from pathlib import Path
 from random import Random
 
+from lifthinge.lab.disks import hindered
 from lifthinge.store.files import Files
 from lifthinge.store.records import HEAD
 from lifthinge.store.store import Damage, Store, survey
@@ -190,11 +194,26 @@
     assert refused > 100
 
 
-def check_full_and_read_only() -> None:
+def check_read_only() -> None:
+    """A folder that can't be written is an error of the system, and is left as it is; it can still be read."""
+    files, told = _lived()
+
+    def refused(*_: object) -> int:
+        raise OSError(errno.EROFS, "Read-only file system")
+    files.open = files.truncate = refused
+    before = {name: files.read(name) for name in files.names()}
+    try:
+        Store.open(files)
+    except OSError as error:
+        assert error.errno == errno.EROFS
+    else:
+        raise AssertionError("it was opened")
+    assert {name: files.read(name) for name in files.names()} == before
+    assert _all(survey(files), told) == told
+
+
+def check_full() -> None:
     """A disk that is full fails the write and keeps what was durable."""
-    from lifthinge.lab.disks import hindered
-    import tempfile
-    from pathlib import Path
     folder = Path(tempfile.mkdtemp())
     store = Store.open(hindered(0.0, 300)(folder))
     kept = 0
@@ -204,7 +223,7 @@
             store.sync()
             kept += 1
     except OSError as error:
-        assert error.errno == 28
+        assert error.errno == errno.ENOSPC
     store.close()
     found = survey(Files(folder))
     assert not isinstance(found, Damage) and len(found.records) == kept and found.torn
