Capture: the decision state as plain values, recorder and replay of turns

Need: nobody can tell afterwards why the controller decided as it did. First way through: a recorder before the decisions, keyframes of the whole decision state by an explicit, versioned export, and a replay that compares a digest of the orders of every turn.

--- /dev/null
+++ b/lifthinge/capture/codec.py
@@ -0,0 +1,185 @@
+"""Events, orders and the whole decision state as plain values, and back: explicit, versioned, without pickle.
+
+Backends, slices and proxies become numbers, named once by a definition; what else there may be is listed in `KINDS`
+and `HOLDERS`, with its fields in their order. A type that is in neither is an error when it is met, not when it is
+needed.
+
+>>> from lifthinge.interface import Backend, Slice, SetLine
+>>> one = Coder(); line = SetLine(Slice(3), Backend("s-a", "s-a"), 0.5)
+>>> plain = one.plain(line); plain
+['o', 'SetLine', ['s', 0], ['b', 0], 0.5]
+>>> [(tag, number, key) for tag, number, key, _ in one.defined()]
+[('s', 0, 3), ('b', 0, 's-a')]
+>>> other = Coder(); other.define('s', 0, 3, []); other.define('b', 0, 's-a', [])
+>>> again = other.object(plain); (again.slice.number, again.backend.ep, again.weight), other.plain(again) == plain
+((3, 's-a', 0.5), True)
+>>> other.object(['o', 'Elsewhere'])
+Traceback (most recent call last):
+    ...
+lifthinge.capture.codec.Unreadable: no kind 'Elsewhere'
+"""
+from collections import deque
+from dataclasses import fields
+from enum import Enum
+from random import Random
+from typing import Any, Iterator
+
+from lifthinge import interface
+from lifthinge.channel import Channel
+from lifthinge.choice import Choice
+from lifthinge.histogram import Histogram
+from lifthinge.interface import Backend, Proxy, Slice
+from lifthinge.lowest import Lowest
+
+FORM = 1        # of the plain values; another form is not read
+_EVENTS = (interface.ByHand, interface.FleetNews, interface.TimerDue, interface.ProbeResult, interface.PeerNote,
+           interface.ProxyJoined, interface.ProxyLeft, interface.TriesReport, interface.ProxyLoad, interface.SliceHeat,
+           interface.Leased, interface.StoredLine, interface.SealConfirmed, interface.ChannelState)
+_ORDERS = (interface.SetLine, interface.ClearTable, interface.BindProxy, interface.ShutOut, interface.SetLevel,
+           interface.Seal, interface.Wake, interface.Probe, interface.TellPeers, interface.Say, interface.FollowList,
+           interface.FetchList, interface.RepeatCall, interface.Forget)
+KINDS: dict[str, tuple[type, tuple[str, ...]]] = {
+    kind.__name__: (kind, tuple(one.name for one in fields(kind)))
+    for kind in (*_EVENTS, *_ORDERS, interface.Listing, interface.Method, interface.SiteTerms)}
+ENUMS = {kind.__name__: kind for kind in (interface.Phase, interface.Form, interface.Outcome, interface.Retry)}
+HOLDERS: dict[str, tuple[type, tuple[str, ...]]] = {    # made without their initialiser, field by field
+    "Histogram": (Histogram, Histogram.__slots__), "Lowest": (Lowest, Lowest.__slots__),
+    "Channel": (Channel, Channel.__slots__)}
+NAMED: dict[str, tuple[type, str, tuple[str, ...]]] = {     # tag: kind, what it is known by, what the adapter sets
+    "b": (Backend, "ep", ("name", "shut_out")), "s": (Slice, "number", ()), "p": (Proxy, "number", ("zone", "size", "bound"))}
+# Of a `Choice`; `notes` is made anew, and `terms` stands in the head.
+SKIPPED = ("notes", "terms")
+
+
+class Unreadable(Exception):
+    """Plain values that no value of this form has."""
+
+
+class Coder:
+    """Knows the objects of one capture by their numbers."""
+
+    def __init__(self) -> None:
+        self._numbers: dict[Any, tuple[str, int]] = {}
+        self._objects: dict[tuple[str, int], Any] = {}
+        self._fresh: list[Any] = []
+        self._counts = dict.fromkeys(NAMED, 0)
+
+    # To plain values.
+
+    def plain(self, value: Any) -> Any:
+        kind = type(value)
+        if value is None or kind in (bool, int, float, str, bytes):
+            return value
+        if kind in (Backend, Slice, Proxy):
+            return list(self._number(value))
+        if kind in (list, tuple, deque):
+            return [{list: "l", tuple: "t", deque: "q"}[kind], *map(self.plain, value)]
+        if kind is dict:
+            return ["d", *(self.plain(one) for pair in value.items() for one in pair)]
+        if isinstance(value, Enum):
+            return ["e", kind.__name__, value.value]
+        if kind is Random:
+            version, state, gauss = value.getstate()
+            return ["r", version, list(state), gauss]
+        name = kind.__name__
+        if name in KINDS:
+            return ["o", name, *(self.plain(getattr(value, one)) for one in KINDS[name][1])]
+        if name in HOLDERS:
+            return ["h", name, *(self.plain(getattr(value, one)) for one in HOLDERS[name][1])]
+        raise TypeError(f"{name} has no plain form")
+
+    def _number(self, one: Any) -> tuple[str, int]:
+        if one not in self._numbers:
+            tag = {Backend: "b", Slice: "s", Proxy: "p"}[type(one)]
+            self._keep(one, tag, self._counts[tag])
+            self._fresh.append(one)
+        return self._numbers[one]
+
+    def _keep(self, one: Any, tag: str, number: int) -> None:
+        self._numbers[one] = tag, number
+        self._objects[tag, number] = one
+        self._counts[tag] = max(self._counts[tag], number + 1)
+
+    def defined(self) -> Iterator[tuple[str, int, Any, list]]:
+        """What was numbered since the last call: tag, number, what it is known by, and what the adapter has set."""
+        fresh, self._fresh = self._fresh, []
+        for one in fresh:
+            tag, number = self._numbers[one]
+            _, key, given = NAMED[tag]
+            yield tag, number, getattr(one, key), [getattr(one, name) for name in given]
+
+    def definitions(self) -> list[list]:
+        """All that has a number, as a keyframe defines it: what the adapter has set is in its state."""
+        return [[tag, number, getattr(one, NAMED[tag][1]), []] for one, (tag, number) in self._numbers.items()]
+
+    # And back.
+
+    def define(self, tag: str, number: int, key: Any, given: list) -> None:
+        kind, _, names = NAMED[tag]
+        one = kind(key, str(key)) if kind is Backend else kind(key)
+        for name, value in zip(names, given):
+            setattr(one, name, value)
+        self._keep(one, tag, number)
+
+    def object(self, plain: Any) -> Any:
+        if not isinstance(plain, list):
+            return plain
+        tag, *rest = plain
+        if tag in NAMED:
+            found = self._objects.get((tag, rest[0]))
+            if found is None:
+                raise Unreadable(f"{tag}{rest[0]} is not defined")
+            return found
+        if tag in ("l", "t", "q"):
+            return {"l": list, "t": tuple, "q": deque}[tag](map(self.object, rest))
+        if tag == "d":
+            values = list(map(self.object, rest))
+            return dict(zip(values[::2], values[1::2]))
+        if tag == "e":
+            return ENUMS[rest[0]](rest[1])
+        if tag == "r":
+            dice = Random()
+            dice.setstate((rest[0], tuple(rest[1]), rest[2]))
+            return dice
+        if tag == "o" and rest[0] in KINDS:
+            return KINDS[rest[0]][0](*map(self.object, rest[1:]))
+        if tag == "h" and rest[0] in HOLDERS:
+            kind, names = HOLDERS[rest[0]]
+            return self._filled(kind, names, rest[1:])
+        raise Unreadable(f"no kind {rest[0] if rest else tag!r}")
+
+    def _filled(self, kind: type, names: tuple[str, ...], values: list) -> Any:
+        one = kind.__new__(kind)
+        for name, value in zip(names, values, strict=True):
+            setattr(one, name, self.object(value))
+        return one
+
+    # The whole decision state.
+
+    def export(self, choice: Choice) -> list:
+        """All that an instance will ever decide by: what it keeps itself, and what it keeps on the objects it knows."""
+        own = {name: self.plain(value) for name, value in vars(choice).items() if name not in SKIPPED}
+        kept, done = [], 0
+        while done < len(self._numbers):        # objects name further objects
+            for one in list(self._numbers)[done:]:
+                names = [field.name for field in fields(one)]
+                kept.append([*self._number(one), *(self.plain(getattr(one, name)) for name in names)])
+                done += 1
+        return [FORM, own, kept]
+
+    def restore(self, terms: interface.SiteTerms, state: list) -> Choice:
+        """An instance that decides alike ever after; the objects must have been defined."""
+        form, own, kept = state
+        if form != FORM:
+            raise Unreadable(f"a keyframe of form {form}, not {FORM}")
+        choice = Choice(terms, 0)
+        for tag, number, *values in kept:
+            one = self._objects[tag, number]
+            for field, value in zip(fields(one), values, strict=True):
+                setattr(one, field.name, self.object(value))
+        known = {name for name in vars(choice) if name not in SKIPPED}
+        if known != set(own):
+            raise Unreadable(f"a keyframe of another text: {', '.join(sorted(known ^ set(own)))}")
+        for name, value in own.items():
+            setattr(choice, name, self.object(value))
+        return choice
--- /dev/null
+++ b/lifthinge/capture/turns.py
@@ -0,0 +1,126 @@
+"""Turns of the decisions as records: what was told and when, and a digest of what was ordered; and the same played again.
+
+A capture is a list of records, each a plain value:
+
+    ["k", terms, definitions, state]                a keyframe: from here on a replay may begin
+    ["t", now, definitions, given, events, digest]  one call of `decide`
+    ["x", from, until, why]                         what was left out: a replay goes on at the next keyframe
+
+`given` is what the adapter has set on proxies that joined. Times are milliseconds.
+"""
+from dataclasses import dataclass
+from typing import Any, Iterable, Iterator, Optional
+
+import msgspec
+from blake3 import blake3
+
+from lifthinge.capture.codec import Coder, Unreadable
+from lifthinge.choice import Choice
+from lifthinge.interface import Event, Order, ProxyJoined
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+def digest_of(coder: Coder, orders: list[Order]) -> bytes:
+    """What tells one list of orders from another."""
+    return blake3(_encode(coder.plain(orders))).digest(length=16)
+
+
+class Recorder:
+    """Stands before a `Choice` and puts on record what passes; `take` gives the records since the last call."""
+
+    def __init__(self, choice: Choice) -> None:
+        self.choice, self.coder = choice, Coder()
+        self._records: list[list] = []
+        self.keyframe()
+
+    def keyframe(self) -> None:
+        """From here on a replay may begin, whatever becomes of what came before."""
+        state = self.coder.export(self.choice)
+        self._records.append(["k", self.coder.plain(self.choice.terms), self._all(), state])
+
+    def _all(self) -> list:
+        list(self.coder.defined())
+        return self.coder.definitions()
+
+    def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
+        events = list(events)
+        told = [self.coder.plain(event) for event in events]
+        joined = [event.proxy for event in events if type(event) is ProxyJoined]
+        given = [[*self.coder.plain(one), one.zone, one.size, one.bound] for one in joined]
+        record = ["t", now, [list(one) for one in self.coder.defined()], given, told]
+        orders = self.choice.decide(now, events)
+        record.append(digest_of(self.coder, orders))
+        self._records.append(record)
+        return orders
+
+    def take(self) -> list[list]:
+        records, self._records = self._records, []
+        return records
+
+
+@dataclass(frozen=True)
+class Parted:
+    """The first turn at which a replay ordered otherwise."""
+    place: int          # record
+    now: float
+    events: list[Event]
+    orders: list[Order]     # of the replay
+
+
+class Replay:
+    """Plays records again; `turns` counts those that came out alike."""
+
+    def __init__(self) -> None:
+        self.coder: Optional[Coder] = None
+        self.choice: Optional[Choice] = None
+        self.turns = self.skipped = 0
+        self.digest = blake3()      # of all orders: ten replays give one
+
+    def play(self, records: Iterable[list]) -> Optional[Parted]:
+        """None if all came out as recorded, else where it parted; `Unreadable` if a record makes no sense."""
+        for place, record in enumerate(records):
+            if record[0] == "k":
+                if self.choice is None:
+                    self._begin(*record[1:])
+            elif record[0] == "x":
+                self.choice = None
+            elif self.choice is None:
+                self.skipped += 1
+            else:
+                parted = self._turn(place, *record[1:])
+                if parted:
+                    return parted
+        return None
+
+    def _begin(self, terms: Any, definitions: list, state: list) -> None:
+        self.coder = Coder()
+        for one in definitions:
+            self.coder.define(*one)
+        self.choice = self.coder.restore(self.coder.object(terms), state)
+
+    def _turn(self, place: int, now: float, definitions: list, given: list, told: list, digest: bytes
+              ) -> Optional[Parted]:
+        for one in definitions:
+            self.coder.define(*one)
+        for tag, number, zone, size, bound in given:
+            proxy = self.coder.object([tag, number])
+            proxy.zone, proxy.size, proxy.bound = zone, size, bound
+        events = [self.coder.object(one) for one in told]
+        orders = self.choice.decide(now, events)
+        found = digest_of(self.coder, orders)
+        self.digest.update(found)
+        if found != digest:
+            return Parted(place, now, events, orders)
+        self.turns += 1
+        return None
+
+
+def from_keyframes(records: list[list]) -> Iterator[list[list]]:
+    """The records from each keyframe on: each must replay alike."""
+    for place, record in enumerate(records):
+        if record[0] == "k":
+            yield records[place:]
+
+
+__all__ = ["Parted", "Recorder", "Replay", "Unreadable", "digest_of", "from_keyframes"]
