Captures in segments on disk, kept by the operators' file; lifthinge replay

Need: a capture must outlive the program, a crash that cuts it, and its own budget, and never hold a turn up.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -24,6 +24,14 @@
 #   }
 # }
 
+# A record of what the decisions were told and ordered; look into it with: lifthinge replay FOLDER
+#
+# capture {
+#   folder     = "/var/lib/lifthinge/capture"
+#   budget_mb  = 64 # the oldest goes first
+#   segment_mb = 4
+# }
+
 # Where a controller, or the command line, finds the agreed configuration.
 #
 # agreed {
--- /dev/null
+++ b/lifthinge/capture/capture.py
@@ -0,0 +1,76 @@
+"""Captures what passes the decisions while the program runs; it never holds a turn up."""
+import logging
+from collections import deque
+from pathlib import Path
+from queue import SimpleQueue
+from threading import Thread
+from typing import Any, Iterable, Optional
+
+from lifthinge.capture.segments import SegmentWriter
+from lifthinge.capture.turns import Recorder
+from lifthinge.choice import Choice
+from lifthinge.interface import Event, Order
+from lifthinge.memory.counters import Counters
+
+log = logging.getLogger(__name__)
+WAITING_MOST = 2_000        # records not yet written; what comes beyond is left out, with a mark
+
+
+class Capture:
+    """Takes the place of a `Choice` before the controller; what it can't write in time is left out and marked."""
+
+    def __init__(self, choice: Choice, writer: SegmentWriter, counters: Counters) -> None:
+        self.recorder, self.writer, self.counters = Recorder(choice), writer, counters
+        self._due: SimpleQueue[Optional[list[list]]] = SimpleQueue()
+        self._waiting = 0           # records given to the thread, less those that it has written
+        self._written: deque[int] = deque()
+        self._left_out: Optional[float] = None      # since when
+        self.failed = ""
+        self._thread = Thread(target=self._run, name="capture", daemon=True)
+        self._thread.start()
+
+    def decide(self, now: float, events: Iterable[Event]) -> list[Order]:
+        """Decides, and puts it on record."""
+        if self.failed:
+            return self.recorder.choice.decide(now, events)
+        while self._written:
+            self._waiting -= self._written.popleft()
+        if self._waiting >= WAITING_MOST:
+            self._left_out = now if self._left_out is None else self._left_out
+            self.counters.add("capture.left_out")
+            return self.recorder.choice.decide(now, events)
+        records: list[list] = []
+        if self._left_out is not None:
+            records.append(["x", self._left_out, now, "the disk was too slow"])
+            self._left_out = None
+            self.recorder.keyframe()
+        elif self.writer.wants_keyframe:
+            self.recorder.keyframe()
+        orders = self.recorder.decide(now, events)
+        records += self.recorder.take()
+        self._waiting += len(records)
+        self._due.put(records)
+        self.counters.add("capture.turns")
+        return orders
+
+    def _run(self) -> None:
+        while (records := self._due.get()) is not None:
+            try:
+                self.writer.write(records)
+            except OSError as error:
+                self.failed = error.strerror or str(error)
+                log.error("capture_failed", {"why": self.failed})
+                return
+            self._written.append(len(records))
+
+    def close(self) -> None:
+        """Writes what waits."""
+        self._due.put(None)
+        self._thread.join(5.0)
+        self.writer.close()
+
+
+def open_capture(choice: Choice, folder: str, budget_mb: float, segment_mb: float, head: dict[str, Any],
+                 counters: Counters) -> Capture:
+    writer = SegmentWriter(Path(folder), head, int(budget_mb * (1 << 20)), int(segment_mb * (1 << 20)))
+    return Capture(choice, writer, counters)
--- a/lifthinge/operators.py
+++ b/lifthinge/operators.py
@@ -101,13 +101,28 @@
         return members
 
 
+class CapturePart(_Part):
+    """A record of what the decisions were told and ordered; the oldest goes first."""
+    folder: Annotated[str, Field(min_length=1)]
+    budget_mb: Annotated[float, Field(ge=1, le=1_000_000)] = 64.0
+    segment_mb: Annotated[float, Field(ge=0.1, le=1_000)] = 4.0
+
+    @field_validator("segment_mb")
+    @classmethod
+    def _segment(cls, size: float, info) -> float:
+        if size * 2 > info.data.get("budget_mb", size * 2):
+            raise ValueError("at most half of budget_mb")
+        return size
+
+
 class Operators(_Part):
     log: LogLines = LogLines()
     member: Optional[MemberPart] = None
     agreed: Optional[AgreedPart] = None
+    capture: Optional[CapturePart] = None
 
 
-_BLOCKS = ("log", "member", "agreed")
+_BLOCKS = ("log", "member", "agreed", "capture")
 
 
 def read_hcl(text: str, file: str) -> Union[dict[str, Any], Unfit]:
--- a/lifthinge/service/run.py
+++ b/lifthinge/service/run.py
@@ -14,7 +14,7 @@
 from lifthinge.memory.deadlines import Deadlines
 from lifthinge.memory.slots import Slots
 from lifthinge.service import logs
-from lifthinge.service.controller import Controller
+from lifthinge.service.controller import Controller, Decider
 from lifthinge.service.environment import BadStart, Place, read_place
 
 if TYPE_CHECKING:
@@ -67,11 +67,25 @@
                                 controller.place.site, controller.tell, keys))
 
 
+def decider(place: Place, books: Books, operators: Optional["Operators"]) -> Decider:
+    """The decisions, behind a capture where the operators' file asks for one."""
+    choice = Choice(place.terms, place.seed)
+    if operators is None or operators.capture is None:
+        return choice
+    from lifthinge.capture.capture import open_capture
+    part, head = operators.capture, {"name": place.name, "seed": place.seed, "life": books.now}
+    try:
+        return open_capture(choice, part.folder, part.budget_mb, part.segment_mb, head, books.counters)
+    except OSError as error:
+        raise BadStart("capture.folder", f"{part.folder}: {error.strerror or error}") from None
+
+
 async def serve(place: Place, hung_up: list[int], operators: Optional["Operators"] = None) -> None:
     """Serves until SIGTERM; `hung_up` has the SIGHUPs that came before."""
     loop, over = asyncio.get_running_loop(), asyncio.Event()
     books = make_books(place.seed, place.sockets)
-    controller = Controller(place, books, Choice(place.terms, place.seed))
+    choice = decider(place, books, operators)
+    controller = Controller(place, books, choice)
     turn_on(controller, operators)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, over.set)
@@ -86,6 +100,8 @@
         await over.wait()
     finally:
         controller.stop()
+        if not isinstance(choice, Choice):
+            choice.close()
     log.info("stopped", counters(books))
 
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -7,12 +7,12 @@
 from pathlib import Path
 from typing import Callable
 
-from tests import check_members, check_raft, check_store
+from tests import check_capture, check_members, check_raft, check_store
 from tests.play.cluster import ClusterStage
 from tests.play.network import Network
 from tests.play.stage import Stage
 
-MODULES = ("agreed.document", "agreed.state", "channel", "cluster.disk", "cluster.keys", "cluster.sealing",
+MODULES = ("agreed.document", "agreed.state", "capture.codec", "capture.segments", "channel", "cluster.disk", "cluster.keys", "cluster.sealing",
            "cluster.talk", "histogram", "lab.linear", "lowest", "memory.attempts", "memory.calls", "memory.counters",
            "memory.deadlines", "memory.slots", "memory.world", "nearest", "operators", "raft.image", "raft.log",
            "raft.messages", "raft.node", "raft.progress", "service.environment", "service.logs", "store.records",
@@ -23,6 +23,7 @@
           for path in sorted((HERE / folder).glob("*.txt"))]
 CHECKS: dict[str, Callable[[], None]] = {
     **{f"store {name[6:]}": check for name, check in vars(check_store).items() if name.startswith("check_")},
+    **{f"capture {name}": check for name, check in check_capture.CHECKS.items()},
     **{f"raft {name}": check for name, check in check_raft.CHECKS.items()},
     **{f"members {name}": check for name, check in check_members.CHECKS.items()}}
 SLOW = 5.0      # s, then a test is named
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -1,10 +1,15 @@
 """Every scenario of the decisions on record, with keyframes all along, and replayed from each of them."""
+import tempfile
+import threading
 from pathlib import Path
 
 import msgspec
 
+from lifthinge.capture.capture import Capture
+from lifthinge.capture.segments import SegmentWriter, read_segment, segments
 from lifthinge.capture.turns import Recorder, Replay, from_keyframes
 from lifthinge.choice import Choice
+from lifthinge.memory.counters import Counters
 from tests.play import stage
 
 HERE = Path(__file__).parent
@@ -73,4 +78,69 @@
     assert parted is not None and parted.now > 5_000.0, parted
 
 
+def check_folder_replays() -> None:
+    """A capture on disk, in many segments and over its budget, replays; cut anywhere it replays up to there."""
+    counters, folder = Counters(), Path(tempfile.mkdtemp())
+    writer = SegmentWriter(folder, {"life": 1}, budget=60_000, segment=6_000)
+
+    class Captured(stage.Stage):
+        def tell(self, *events: object) -> None:
+            if self.choice is None:
+                self.choice = Capture(Choice(self.terms, 7), writer, counters)
+            super().tell(*events)
+    played = Captured()
+    played.run("\n".join((HERE / "scenarios" / name).read_text() for name in ("fill.txt",)))
+    for moment in range(int(played.now) + 400, int(played.now) + 40_000, 400):
+        played.play_to(float(moment))
+    played.choice.close()
+    found = segments(folder)
+    assert len(found) > 3 and found[0].path.name != "cap-00000001", [one.path.name for one in found]
+    replay = Replay()
+    assert all(replay.play(read_segment(one.path)[1]) is None for one in found) and replay.turns > 30, replay.turns
+    whole = found[0].path.read_bytes()
+    turns = []
+    for size in range(0, len(whole), 97):
+        found[0].path.write_bytes(whole[:size])
+        read, part = read_segment(found[0].path), Replay()
+        if isinstance(read, tuple):
+            assert part.play(read[1]) is None
+            turns.append(part.turns)
+    assert turns == sorted(turns) and turns[-1] > turns[0]
+
+
+def check_slow_disk_marked() -> None:
+    """Where the disk is too slow turns go on, what is left out is marked, and the replay goes on at the next keyframe."""
+    from lifthinge.capture import capture as module
+    written: list[list] = []
+    gate, caught_up = threading.Event(), threading.Event()
+
+    class Slow:
+        wants_keyframe = False
+
+        def write(self, records: list[list]) -> None:
+            gate.wait(20)
+            written.extend(msgspec.msgpack.decode(msgspec.msgpack.encode(records)))
+            if len(written) >= 20:
+                caught_up.set()
+
+        def close(self) -> None:
+            pass
+    most, module.WAITING_MOST = module.WAITING_MOST, 20
+    counters = Counters()
+    try:
+        captured = Capture(Choice(stage.TERMS, 7), Slow(), counters)
+        for turn in range(60):
+            captured.decide(turn * 500.0, [])
+            if turn == 40:
+                gate.set()
+                assert caught_up.wait(20)
+        captured.close()
+    finally:
+        module.WAITING_MOST = most
+    marks = [one for one in written if one[0] == "x"]
+    assert len(marks) == 1 and marks[0][1] < marks[0][2] <= 20_500.0, marks
+    replay = Replay()
+    assert replay.play(written) is None and replay.turns > 25 and counters.get("capture.left_out") > 10
+
+
 CHECKS = {name[6:]: check for name, check in list(globals().items()) if name.startswith("check_")}
