--- /dev/null
+++ b/lifthinge/capture/against.py
@@ -0,0 +1,82 @@
+"""Another text of the decisions on the same input: where the two part, and how often.
+
+The world would have answered the other text's orders otherwise: from the first parting on, what both hear is what the
+recorded text brought about. So partings tell where to look, not which text is better.
+"""
+import importlib.util
+import subprocess
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Iterable, Optional, Union
+
+from lifthinge.capture.turns import Replay
+from lifthinge.interface import Event, Order, Say, Wake
+
+MODULE = "lifthinge/choice.py"
+QUIET = (Say, Wake)     # orders that change nothing outside
+
+
+def load_text(where: str) -> Union[type, str]:
+    """`Choice` of another text, a file or a revision of this repository; or why there is none."""
+    path = Path(where)
+    if path.is_dir():
+        path = path / MODULE
+    if not path.is_file():
+        shown = subprocess.run(["git", "show", f"{where}:{MODULE}"], capture_output=True, text=True)
+        if shown.returncode:
+            return f"{where}: no file, and no revision that has {MODULE}"
+        with tempfile.NamedTemporaryFile("w", suffix=".py", delete=False) as file:
+            file.write(shown.stdout)
+        path = Path(file.name)
+    spec = importlib.util.spec_from_file_location("lifthinge_other_choice", path)
+    module = importlib.util.module_from_spec(spec)
+    try:
+        spec.loader.exec_module(module)
+        return module.Choice
+    except Exception as error:      # another text may fail in any way
+        return f"{where}: {type(error).__name__}: {error}"
+
+
+@dataclass
+class Parting:
+    """The first turn at which the two ordered otherwise."""
+    now: float
+    events: list[Event]
+    ours: list[Order]
+    theirs: list[Order]
+
+
+@dataclass
+class Against:
+    """Both texts in step."""
+    kind: type
+    turns: int = 0
+    parted: int = 0
+    first: Optional[Parting] = None
+    ours: Counter = field(default_factory=Counter)      # orders by kind
+    theirs: Counter = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        self._one, self._other = Replay(), Replay(self.kind)
+
+    def play(self, records: Iterable[list]) -> None:
+        """Plays on; `Unreadable` if a record makes no sense."""
+        for record in records:
+            self._one.play([record])
+            self._other.play([record])
+            if record[0] != "t" or self._one.choice is None or self._other.choice is None:
+                continue
+            self.turns += 1
+            ours, theirs = ([order for order in played.orders if not isinstance(order, QUIET)]
+                            for played in (self._one, self._other))
+            self.ours.update(type(order).__name__ for order in ours)
+            self.theirs.update(type(order).__name__ for order in theirs)
+            if self._one.coder.plain(ours) != self._other.coder.plain(theirs):
+                self.parted += 1
+                self.first = self.first or Parting(record[1], self._one.events, ours, theirs)
+
+    def begin_life(self) -> None:
+        """Another start of the program."""
+        self._one.choice = self._other.choice = None
--- a/lifthinge/capture/codec.py
+++ b/lifthinge/capture/codec.py
@@ -167,19 +167,23 @@
                 done += 1
         return [FORM, own, kept]
 
-    def restore(self, terms: interface.SiteTerms, state: list) -> Choice:
-        """An instance that decides alike ever after; the objects must have been defined."""
+    def restore(self, terms: interface.SiteTerms, state: list, kind: type = Choice) -> Any:
+        """An instance that decides alike ever after; the objects must have been defined.
+
+        Another text's (`kind`) takes over what both keep, and begins with the rest as at a start.
+        """
         form, own, kept = state
         if form != FORM:
             raise Unreadable(f"a keyframe of form {form}, not {FORM}")
-        choice = Choice(terms, 0)
+        choice = kind(terms, 0)
         for tag, number, *values in kept:
             one = self._objects[tag, number]
             for field, value in zip(fields(one), values, strict=True):
                 setattr(one, field.name, self.object(value))
         known = {name for name in vars(choice) if name not in SKIPPED}
-        if known != set(own):
+        if kind is Choice and known != set(own):
             raise Unreadable(f"a keyframe of another text: {', '.join(sorted(known ^ set(own)))}")
         for name, value in own.items():
-            setattr(choice, name, self.object(value))
+            if name in known:
+                setattr(choice, name, self.object(value))
         return choice
--- a/lifthinge/capture/turns.py
+++ b/lifthinge/capture/turns.py
@@ -71,9 +71,12 @@
 class Replay:
     """Plays records again; `turns` counts those that came out alike."""
 
-    def __init__(self) -> None:
+    def __init__(self, kind: type = Choice) -> None:
+        self.kind = kind            # another text of the decisions orders otherwise: nothing is compared then
         self.coder: Optional[Coder] = None
         self.choice: Optional[Choice] = None
+        self.events: list[Event] = []       # of the last turn, and what was ordered
+        self.orders: list[Order] = []
         self.turns = self.skipped = 0
         self.digest = blake3()      # of all orders: ten replays give one
 
@@ -97,7 +100,7 @@
         self.coder = Coder()
         for one in definitions:
             self.coder.define(*one)
-        self.choice = self.coder.restore(self.coder.object(terms), state)
+        self.choice = self.coder.restore(self.coder.object(terms), state, self.kind)
 
     def _turn(self, place: int, now: float, definitions: list, given: list, told: list, digest: bytes
               ) -> Optional[Parted]:
@@ -108,9 +111,10 @@
             proxy.zone, proxy.size, proxy.bound = zone, size, bound
         events = [self.coder.object(one) for one in told]
         orders = self.choice.decide(now, events)
+        self.events, self.orders = events, orders
         found = digest_of(self.coder, orders)
         self.digest.update(found)
-        if found != digest:
+        if found != digest and self.kind is Choice:
             return Parted(place, now, events, orders)
         self.turns += 1
         return None
--- /dev/null
+++ b/lifthinge/capture/words.py
@@ -0,0 +1,33 @@
+"""Events and orders in words: kind, then its fields, objects by what they are known by.
+
+>>> from lifthinge.interface import Backend, Form, FleetNews, Listing, Phase, SetLine, Slice
+>>> words(SetLine(Slice(3), Backend("s-a", "s-a"), 0.50004))
+'SetLine slice=3 backend=s-a weight=0.5'
+>>> words(FleetNews(Form.DELTA, [Listing(Backend("s-a", "s-a"), 1, 0, Phase.READY, 0.0, 1.0)]))
+'FleetNews form=delta listings=[Listing backend=s-a zone=1 cell=0 phase=ready started=0 size=1]'
+"""
+from enum import Enum
+from typing import Any
+
+from lifthinge.capture.codec import KINDS
+from lifthinge.interface import Backend, Proxy, Slice
+
+
+def words(one: Any) -> str:
+    """One value, on one line."""
+    if isinstance(one, Backend):
+        return one.name
+    if isinstance(one, (Slice, Proxy)):
+        return str(one.number)
+    if isinstance(one, Enum):
+        return str(one.value)
+    if isinstance(one, float):
+        return f"{one:.4g}" if abs(one) < 1e6 else f"{one:.1f}"
+    if isinstance(one, (list, tuple)):
+        return "[" + ", ".join(map(words, one)) + "]"
+    if isinstance(one, dict):
+        return "{" + ", ".join(f"{words(key)}: {words(value)}" for key, value in one.items()) + "}"
+    name = type(one).__name__
+    if name in KINDS:
+        return " ".join([name, *(f"{field}={words(getattr(one, field))}" for field in KINDS[name][1])])
+    return str(one)
