Hostile captures are refused in one line: bombs, depths, cuts, records that make no sense

Whatever a file holds, reading it takes 64 MiB a block at most, and ends in a value or in Unreadable, naming the record; 150 records changed at random inside are each refused or read.

--- a/lifthinge/capture/segments.py
+++ b/lifthinge/capture/segments.py
@@ -28,6 +28,7 @@
 FORM = 1
 HEAD, BLOCK = 1, 2
 BLOCK_RECORDS = 256         # records in a block at most
+BLOCK_MOST = 64 << 20       # bytes of a block unpacked: no file makes a reader take more
 LEVEL = 3                   # of compression: what is recorded is alike all along
 
 
@@ -127,12 +128,21 @@
         head = msgspec.msgpack.decode(found[0].data)
         if head.get("form") != FORM:
             return NoCapture(path.name, f"a capture of form {head.get('form')}, not {FORM}")
-        turns = [record for one in found[1:] for record in msgspec.msgpack.decode(zlib.decompress(one.data))]
-    except (msgspec.DecodeError, zlib.error, AttributeError) as error:
+        turns = [record for one in found[1:] for record in _unpacked(one.data)]
+    except (msgspec.DecodeError, msgspec.ValidationError, zlib.error, AttributeError, RecursionError) as error:
         return NoCapture(path.name, str(error))
     return head, turns
 
 
+def _unpacked(data: bytes) -> list[list]:
+    """The records of a block, if it is of a sane size."""
+    packed = zlib.decompressobj()
+    plain = packed.decompress(data, BLOCK_MOST)
+    if packed.unconsumed_tail or not packed.eof:
+        raise zlib.error("a block that is cut, or unpacks to too much")
+    return msgspec.msgpack.decode(plain, type=list[list])
+
+
 def segments(folder: Path) -> list[Union[Segment, NoCapture]]:
     """What a folder holds, oldest first."""
     found: list[Union[Segment, NoCapture]] = []
--- a/lifthinge/capture/turns.py
+++ b/lifthinge/capture/turns.py
@@ -9,7 +9,7 @@
 `given` is what the adapter has set on proxies that joined. Times are milliseconds.
 """
 from dataclasses import dataclass
-from typing import Any, Iterable, Iterator, Optional
+from typing import Any, Callable, Iterable, Iterator, Optional
 
 import msgspec
 from blake3 import blake3
@@ -83,33 +83,47 @@
     def play(self, records: Iterable[list]) -> Optional[Parted]:
         """None if all came out as recorded, else where it parted; `Unreadable` if a record makes no sense."""
         for place, record in enumerate(records):
-            if record[0] == "k":
+            kind = record[0] if record else None
+            if kind == "k":
                 if self.choice is None:
-                    self._begin(*record[1:])
-            elif record[0] == "x":
+                    self._guard(place, lambda: self._begin(*record[1:]))
+            elif kind == "x":
                 self.choice = None
+            elif kind != "t":
+                raise Unreadable(f"record {place} is of no kind known here")
             elif self.choice is None:
                 self.skipped += 1
             else:
-                parted = self._turn(place, *record[1:])
+                told = self._guard(place, lambda: self._told(*record[1:]))
+                parted = self._turn(place, *told)
                 if parted:
                     return parted
         return None
 
+    @staticmethod
+    def _guard(place: int, read: Callable[[], Any]) -> Any:
+        """What is read of a record that anyone may have written."""
+        try:
+            return read()
+        except (KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as error:
+            raise Unreadable(f"record {place}: {type(error).__name__}: {error}") from None
+
     def _begin(self, terms: Any, definitions: list, state: list) -> None:
         self.coder = Coder()
         for one in definitions:
             self.coder.define(*one)
         self.choice = self.coder.restore(self.coder.object(terms), state, self.kind)
 
-    def _turn(self, place: int, now: float, definitions: list, given: list, told: list, digest: bytes
-              ) -> Optional[Parted]:
+    def _told(self, now: float, definitions: list, given: list, told: list, digest: bytes
+              ) -> tuple[float, list[Event], bytes]:
         for one in definitions:
             self.coder.define(*one)
         for tag, number, zone, size, bound in given:
             proxy = self.coder.object([tag, number])
             proxy.zone, proxy.size, proxy.bound = zone, size, bound
-        events = [self.coder.object(one) for one in told]
+        return now + 0.0, [self.coder.object(one) for one in told], digest
+
+    def _turn(self, place: int, now: float, events: list[Event], digest: bytes) -> Optional[Parted]:
         orders = self.choice.decide(now, events)
         self.events, self.orders = events, orders
         found = digest_of(self.coder, orders)
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -1,7 +1,9 @@
 """Every scenario of the decisions on record, with keyframes all along, and replayed from each of them."""
 import tempfile
 import threading
+import zlib
 from pathlib import Path
+from random import Random
 from typing import Optional
 
 import msgspec
@@ -9,10 +11,12 @@
 from lifthinge import choice as choice_module
 from lifthinge.capture.against import Against, load_text
 from lifthinge.capture.capture import Capture
-from lifthinge.capture.segments import SegmentWriter, read_segment, segments
+from lifthinge.capture.codec import Unreadable
+from lifthinge.capture.segments import BLOCK, HEAD, NoCapture, SegmentWriter, read_segment, segments
 from lifthinge.capture.turns import Recorder, Replay, from_keyframes
 from lifthinge.choice import Choice
 from lifthinge.memory.counters import Counters
+from lifthinge.store.records import pack
 from tests.play import stage
 
 HERE = Path(__file__).parent
@@ -171,4 +175,46 @@
     assert against.ours["SetLine"] > against.theirs["SetLine"], (against.ours, against.theirs)
 
 
+def check_hostile_files() -> None:
+    """Bombs, depths, cuts and changed bytes are told in one line, or replay up to there; nothing else is raised."""
+    folder, dice = Path(tempfile.mkdtemp()), Random(3)
+    played = Recorded()
+    played.run((HERE / "scenarios" / "violator.txt").read_text())
+    head = pack(HEAD, msgspec.msgpack.encode({"form": 1}), 0)
+
+    def read(*blocks: bytes) -> object:
+        path = folder / "cap-00000001"
+        path.write_bytes(head + b"".join(pack(BLOCK, one, 0) for one in blocks))
+        return read_segment(path)
+    good = zlib.compress(msgspec.msgpack.encode(played.records[0]))
+    assert Replay().play(read(good)[1]) is None
+    deep = b"\x91" * 100_000 + b"\xc0"
+    for block in (zlib.compress(bytes(200 << 20), 9), zlib.compress(deep), good[:-5], b"no", zlib.compress(b"\xc1")):
+        assert isinstance(read(block), NoCapture)
+    for part in ([["t"]], [[]], [["z", 1]], [["k", None, [], [1, {}, []]]], [["k", 1, [["b", 0, "a", [1, 2, 3]]], []]]):
+        try:
+            Replay().play(read(zlib.compress(msgspec.msgpack.encode(part)))[1])
+        except Unreadable:
+            continue
+        assert part == [["t"]], part        # before any keyframe: passed over
+
+    class Reads(Replay):
+        def _turn(self, place: int, now: float, events: list, digest: bytes) -> None:
+            """What is read is all that is tried here."""
+    refused = unharmed = 0
+    for _ in range(150):
+        records = msgspec.msgpack.decode(msgspec.msgpack.encode(played.records[0][:6]))
+        place = records[dice.randrange(len(records))]
+        for _ in range(dice.randrange(1, 5)):       # somewhere inside, something else
+            inner = [one for one in place if isinstance(one, list) and one]
+            place = dice.choice(inner) if inner else place
+        place[dice.randrange(len(place))] = dice.choice([None, -1, "b", [], ["b", 99], 1e300, ["d", 1]])
+        try:
+            Reads().play(records)
+            unharmed += 1
+        except Unreadable:
+            refused += 1
+    assert refused > 50 and unharmed > 10, (refused, unharmed)
+
+
 CHECKS = {name[6:]: check for name, check in list(globals().items()) if name.startswith("check_")}
