--- a/lifthinge/capture/codec.py
+++ b/lifthinge/capture/codec.py
@@ -21,8 +21,9 @@
 from collections import deque
 from dataclasses import fields
 from enum import Enum
+from operator import attrgetter
 from random import Random
-from typing import Any, Iterator
+from typing import Any, Callable, Iterator
 
 from lifthinge import interface
 from lifthinge.channel import Channel
@@ -49,6 +50,18 @@
     "b": (Backend, "ep", ("name", "shut_out")), "s": (Slice, "number", ()), "p": (Proxy, "number", ("zone", "size", "bound"))}
 # Of a `Choice`; `notes` is made anew, and `terms` stands in the head.
 SKIPPED = ("notes", "terms")
+_BARE = frozenset((type(None), bool, int, float, str, bytes))
+_OBJECTS = frozenset((Backend, Slice, Proxy))
+
+
+def _reader(names: tuple[str, ...]) -> Callable[[Any], tuple]:
+    """Reads all fields of a value at once."""
+    if len(names) > 1:
+        return attrgetter(*names)
+    return (lambda value: (getattr(value, names[0]),)) if names else (lambda value: ())
+
+
+_READ = {kind: (name, _reader(names)) for name, (kind, names) in KINDS.items()}
 
 
 class Unreadable(Exception):
@@ -59,7 +72,7 @@
     """Knows the objects of one capture by their numbers."""
 
     def __init__(self) -> None:
-        self._numbers: dict[Any, tuple[str, int]] = {}
+        self._numbers: dict[Any, list] = {}     # tag and number
         self._objects: dict[tuple[str, int], Any] = {}
         self._fresh: list[Any] = []
         self._counts = dict.fromkeys(NAMED, 0)
@@ -68,10 +81,15 @@
 
     def plain(self, value: Any) -> Any:
         kind = type(value)
-        if value is None or kind in (bool, int, float, str, bytes):
+        if kind in _BARE:
             return value
-        if kind in (Backend, Slice, Proxy):
-            return list(self._number(value))
+        fast = _READ.get(kind)      # nearly all that passes is an event of a few bare fields and one object
+        if fast is not None:
+            name, read = fast
+            return ["o", name, *[one if type(one) in _BARE else self._numbers.get(one) or self.plain(one)
+                                 if type(one) in _OBJECTS else self.plain(one) for one in read(value)]]
+        if kind in _OBJECTS:
+            return self._number(value)
         if kind in (list, tuple, deque):
             return [{list: "l", tuple: "t", deque: "q"}[kind], *map(self.plain, value)]
         if kind is dict:
@@ -82,13 +100,11 @@
             version, state, gauss = value.getstate()
             return ["r", version, list(state), gauss]
         name = kind.__name__
-        if name in KINDS:
-            return ["o", name, *(self.plain(getattr(value, one)) for one in KINDS[name][1])]
         if name in HOLDERS:
             return ["h", name, *(self.plain(getattr(value, one)) for one in HOLDERS[name][1])]
         raise TypeError(f"{name} has no plain form")
 
-    def _number(self, one: Any) -> tuple[str, int]:
+    def _number(self, one: Any) -> list:
         if one not in self._numbers:
             tag = {Backend: "b", Slice: "s", Proxy: "p"}[type(one)]
             self._keep(one, tag, self._counts[tag])
@@ -96,7 +112,7 @@
         return self._numbers[one]
 
     def _keep(self, one: Any, tag: str, number: int) -> None:
-        self._numbers[one] = tag, number
+        self._numbers[one] = [tag, number]
         self._objects[tag, number] = one
         self._counts[tag] = max(self._counts[tag], number + 1)
 
--- a/lifthinge/capture/segments.py
+++ b/lifthinge/capture/segments.py
@@ -29,7 +29,7 @@
 HEAD, BLOCK = 1, 2
 BLOCK_RECORDS = 256         # records in a block at most
 BLOCK_MOST = 64 << 20       # bytes of a block unpacked: no file makes a reader take more
-LEVEL = 3                   # of compression: what is recorded is alike all along
+LEVEL = 1                   # of compression: what is recorded is alike all along
 
 
 @dataclass(frozen=True, slots=True)
--- a/lifthinge/cli/drill.py
+++ b/lifthinge/cli/drill.py
@@ -63,3 +63,12 @@
     from lifthinge.lab.raftbench import run
     numbers = [tuple(int(one) for one in text.split(",")) for text in (sizes, proposers)]
     click.echo(json.dumps(run(*numbers, seconds, kills, entries), indent=1))
+
+
+@drill.command("capture-bench")
+@click.option("--sizes", default="20,200", show_default=True, help="Numbers of backends.")
+@click.option("--turns", type=int, default=400, show_default=True)
+def capture_bench(sizes: str, turns: int) -> None:
+    """What recording costs, on and off in turn on one load, and how fast a replay is."""
+    from lifthinge.lab.capturebench import measure
+    click.echo(json.dumps(measure(tuple(int(one) for one in sizes.split(",")), turns), indent=1))
