--- a/lifthinge/lab/raftbench.py
+++ b/lifthinge/lab/raftbench.py
@@ -73,14 +73,9 @@
 async def _begin(size: int, folder: Path, snapshot_entries: int = 20_000) -> Drill:
     drill = Drill(size, 0, 1, folder, True)
     drill.snapshot_entries = snapshot_entries
-    for name in ("members.key", "clients.key"):
-        (folder / name).touch(mode=0o600)
-        (folder / name).write_text(f"k1 {os.urandom(32).hex()}\n")
-    from lifthinge.cluster.keys import KeyFile, read_keys
-    drill.watched, path = {}, str(folder / "clients.key")
-    drill.watch_keys = KeyFile(path, read_keys(path))
+    drill.make_keys()
     for name in drill.names:
-        await drill.place(name, True)
+        await drill.place(name)
     # Without the forwarders between them: they would be measured, too.
     drill.outside = {name: "%s:%d" % drill.addresses[name] for name in drill.names}
     for name in drill.names:
--- a/lifthinge/lab/raftdrill.py
+++ b/lifthinge/lab/raftdrill.py
@@ -21,7 +21,7 @@
 from lifthinge.agreed.commands import Accepted, Outdated
 from lifthinge.agreed.state import Fence
 from lifthinge.cluster import talk
-from lifthinge.cluster.client import AgreedClient, call
+from lifthinge.cluster.client import AgreedClient, Call, call
 from lifthinge.cluster.keys import KeyFile, read_keys
 from lifthinge.lab.cuts import Way
 from lifthinge.lab.linear import Seen, misorder
@@ -71,7 +71,17 @@
 
     # Members.
 
-    async def place(self, name: str, first: bool) -> None:
+    def make_keys(self) -> None:
+        """A key for the members and one for clients, as for any cluster."""
+        for name in ("members.key", "clients.key"):
+            path = self.folder / name
+            path.touch(mode=0o600)
+            path.write_text(f"k1 {self.dice.randbytes(32).hex()}\n")
+        path = str(self.folder / "clients.key")
+        self.watched: dict[str, Call] = {}
+        self.watch_keys = KeyFile(path, read_keys(path))
+
+    async def place(self, name: str) -> None:
         port = _free_port()
         self.addresses[name] = "127.0.0.1", port
         self.ways[name] = Way(name, self.addresses[name], self.cuts)
@@ -113,8 +123,7 @@
             process.wait(20)
 
     def client(self, name: str) -> AgreedClient:
-        keys = str(self.folder / "clients.key")
-        return AgreedClient(self.books, self.addresses, "drill", name, KeyFile(keys, read_keys(keys)))
+        return AgreedClient(self.books, self.addresses, "drill", name, self.watch_keys)
 
     async def reports(self, wait: float = 300.0) -> dict[str, talk.Report]:
         async def one(name: str) -> Optional[talk.Report]:
@@ -172,11 +181,9 @@
     async def front_end(self, number: int) -> None:
         """Obeys what it is told, from whichever member takes it on; the fence keeps it from going back."""
         fence, at = Fence(), (0, 0)
-        keys = str(self.folder / "clients.key")
-        keys = KeyFile(keys, read_keys(keys))
         while not self.over:
             name = self.dice.choice(self.names)
-            link = await call(self.books, self.addresses[name], "drill", f"f{number}", keys)
+            link = await call(self.books, self.addresses[name], "drill", f"f{number}", self.watch_keys)
             if link is None:
                 await self.books.pause(100.0)
                 continue
@@ -321,7 +328,7 @@
                 self.addresses.pop(name)
         elif len(self.names) < 7:
             name = f"{self.dice.choice(NAMES)}{self.changes}x{self.kills}"
-            await self.place(name, first=False)
+            await self.place(name)
             self.write_file(name, {})
             self.start(name)
             self.names.append(name)
@@ -346,14 +353,9 @@
     # The run, and what came of it.
 
     async def play(self) -> dict[str, Any]:
-        for name, key in (("members.key", "ab"), ("clients.key", "cd")):
-            path = self.folder / name
-            path.touch(mode=0o600)
-            path.write_text(f"k1 {self.dice.randbytes(32).hex()}\n")
-        self.watched: dict[str, Any] = {}
-        self.watch_keys = KeyFile(str(self.folder / "clients.key"), read_keys(str(self.folder / "clients.key")))
+        self.make_keys()
         for name in self.names:
-            await self.place(name, first=True)
+            await self.place(name)
         first = dict(self.outside)
         for name in self.names:
             self.write_file(name, first)
