--- a/lifthinge/cluster/keys.py
+++ b/lifthinge/cluster/keys.py
@@ -9,10 +9,16 @@
 ...     _ = file.write("# since May\\nnew " + "ab" * 32 + "\\nold " + "cd" * 32 + "\\n")
 >>> keys = read_keys(path); keys.signing, sorted(keys.by_id)
 ('new', ['new', 'old'])
+>>> watched = KeyFile(path, keys)
+>>> with open(path, "w") as file: _ = file.write("next " + "ef" * 32 + "\\n")
+>>> watched.now().signing                              # read again, as it has changed
+'next'
+>>> os.chmod(path, 0o644); watched.now().signing, watched.fault.why     # unusable: the last keys stay in force
+('next', 'others can read it: chmod 600')
 >>> os.chmod(path, 0o644); read_keys(path).why.endswith("chmod 600")
 True
 >>> os.chmod(path, 0o600); _ = open(path, "a").write("x 12\\n"); read_keys(path).why
-'line 4: a key is 64 hexadecimal digits'
+'line 2: a key is 64 hexadecimal digits'
 """
 import os
 import stat
--- a/lifthinge/cluster/talk.py
+++ b/lifthinge/cluster/talk.py
@@ -51,15 +51,8 @@
     may_have_run: bool = False
 
 
-class Shown(msgspec.Struct, array_like=True, frozen=True, tag=True):
-    """A version; version 0 with no body where none was ever agreed."""
-    version: int
-    term: int
-    index: int
-    at: float
-    author: str
-    body: bytes
-    digest: bytes
+class Shown(Version, array_like=True, frozen=True, tag=True):
+    """A version as it is told; version 0 with no body where none was ever agreed."""
 
 
 class Versions(msgspec.Struct, array_like=True, frozen=True, tag=True):
--- a/lifthinge/operators.py
+++ b/lifthinge/operators.py
@@ -7,6 +7,9 @@
 Unfit(file='x.hcl', line=1, key='log.from', why='unknown; did you mean form?')
 >>> read_operators('log {', "x.hcl").line
 1
+>>> text = 'agreed {\\n cluster = "c"\\n key_file = "k"\\n members = { a = "here" }\\n}'
+>>> read_operators(text, "x.hcl")
+Unfit(file='x.hcl', line=4, key='agreed.members', why='not an address of the form 127.0.0.1:7101')
 """
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,7 +17,7 @@
 
 import hcl2
 from lark.exceptions import UnexpectedInput
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from lifthinge.schema import fault_of
 
@@ -46,6 +49,16 @@
     return host, int(port)
 
 
+def _addresses(members: dict[str, str]) -> dict[str, str]:
+    for text in members.values():
+        socket_address(text)
+    return members
+
+
+Address = Annotated[str, AfterValidator(socket_address)]
+Members = Annotated[dict[str, str], AfterValidator(_addresses)]    # addresses by name
+
+
 class _Part(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -58,27 +71,15 @@
     """One member of the cluster that agrees on the configuration."""
     cluster: Name
     name: Name
-    listen: str
+    listen: Address
     folder: Annotated[str, Field(min_length=1)]
     key_file: str
     client_key_file: str
-    start_with: dict[str, str] = {}     # the first members, alike at each; empty where it joins a running cluster
+    start_with: Members = {}     # the first members, alike at each; empty where it joins a running cluster
     election_ms: Annotated[float, Field(ge=50, le=60_000)] = 1_000.0
     beat_ms: Annotated[float, Field(ge=5, le=10_000)] = 100.0
     snapshot_entries: Annotated[int, Field(ge=100, le=10_000_000)] = 20_000    # behind one, then comes another
 
-    @field_validator("listen")
-    @classmethod
-    def _listen(cls, text: str) -> str:
-        return socket_address(text)
-
-    @field_validator("start_with")
-    @classmethod
-    def _members(cls, members: dict[str, str]) -> dict[str, str]:
-        for text in members.values():
-            socket_address(text)
-        return members
-
     @field_validator("beat_ms")
     @classmethod
     def _beat(cls, beat: float, info) -> float:
@@ -90,16 +91,9 @@
 class AgreedPart(_Part):
     """Where a controller, or the command line, finds the agreed configuration."""
     cluster: Name
-    members: Annotated[dict[str, str], Field(min_length=1)]
+    members: Annotated[Members, Field(min_length=1)]
     key_file: str
 
-    @field_validator("members")
-    @classmethod
-    def _members(cls, members: dict[str, str]) -> dict[str, str]:
-        for text in members.values():
-            socket_address(text)
-        return members
-
 
 class CapturePart(_Part):
     """A record of what the decisions were told and ordered; the oldest goes first."""
