Missed withdrawals go before what can wait; a call that did not run blocks less

Excluded: discovery (told in every play at once), the relay call (2 to 10 ms), the table.

Change: what can wait waits while missed withdrawals or bare tables are owed. A call has not run, too, once all before it is confirmed and nobody answers it for twice a message's way. Sister paths, each by a failing test: a slice given that names one who is out, a proxy that left and came back while the news was broken, a withdrawal in a call given up, a spoilt entry that drains.

Tests: joiners_and_small_pushes, unknown_and_drain, join_while_called, given_names_out, rejoined_unseen, refused_orders and spoilt_draining fail on the text before.

--- a/lifthinge/capture/codec.py
+++ b/lifthinge/capture/codec.py
@@ -32,10 +32,10 @@
 from lifthinge.interface import Backend, Proxy, Slice
 from lifthinge.lowest import Lowest
 
-FORM = 1        # of the plain values; another form is not read
+FORM = 2        # of the plain values; another form is not read
 _EVENTS = (interface.ByHand, interface.FleetNews, interface.TimerDue, interface.ProbeResult, interface.PeerNote,
            interface.ProxyJoined, interface.ProxyLeft, interface.TriesReport, interface.ProxyLoad, interface.SliceHeat,
-           interface.Leased, interface.StoredLine, interface.SealConfirmed, interface.ChannelState)
+           interface.Leased, interface.StoredLine, interface.SealConfirmed, interface.ChannelState, interface.OutStands)
 _ORDERS = (interface.SetLine, interface.ClearTable, interface.BindProxy, interface.ShutOut, interface.SetLevel,
            interface.Seal, interface.Wake, interface.Probe, interface.TellPeers, interface.Say, interface.FollowList,
            interface.FetchList, interface.RepeatCall, interface.Forget)
--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -46,6 +46,17 @@
         """Lines for each receiver of what went out under a seal."""
         return next((lines for number, lines, _, _ in self.flight if number == seal), 0.0)
 
+    def ahead(self, seal: int) -> int:
+        """How many confirmations are missing of what went out before a seal; none if that is not on the books.
+
+        >>> books = Channel()
+        >>> books.sent(1, 5.0, "pq", 0.0); books.sent(2, 5.0, "pqr", 0.0); books.confirmed(1, "p")
+        >>> books.ahead(1), books.ahead(2), books.ahead(3)
+        (0, 1, 0)
+        """
+        place = next((place for place, one in enumerate(self.flight) if one[0] == seal), 0)
+        return sum(len(missing) for _, _, missing, _ in islice(self.flight, place))
+
     def repeated(self, seal: int, now: float, unrun: bool) -> None:
         """Books what goes out again under a seal: once more, or in place of what did not run."""
         lines, missing = next((one[1:3] for one in self.flight if one[0] == seal), (0.0, {}))
--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -12,7 +12,7 @@
 from lifthinge.channel import Channel
 from lifthinge.interface import (
     Backend, BindProxy, ByHand, ChannelState, Event, FleetNews, FollowList, Forget, Form, Leased, Order,
-    Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine,
+    OutStands, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine,
     ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
 from lifthinge.tables import bare, part_if_in, parts
 
@@ -44,6 +44,7 @@
 HORIZON_NEW = 0.25          # a period's part in the horizon
 URGENT_PART = 0.9           # of the channel's queue is in use; of it are kept back
 KEPT_PART, SPARED_PART, MOST_KEPT = 0.5, 0.25, 0.75  # from what can wait; from bare tables and late joiners
+ANSWER_PART = 2.0           # of a message's longest way: there and back, until the first answers
 JOINS_GATHER = 0.25         # of the push timer: before late joiners are told what they missed
 LEVELS, LET_ALL = 4, 1e9    # steps, each costs a line a slice; a level, be it a fraction or a rate
 STRESS_HIGH, STRESS_LOW = 0.6, 0.45    # mean latency in shortest soft deadlines: less let in, more let in
@@ -69,7 +70,7 @@
         self.notes = {  # what waits for a proxy that left counts until it is out for sure
             ByHand: self._note_by_hand, FleetNews: self._note_fleet, ProxyJoined: self._note_join,
             TriesReport: self._note_tries, SliceHeat: self._note_heat,
-            Leased: self._note_lease, StoredLine: self._note_line,
+            Leased: self._note_lease, StoredLine: self._note_line, OutStands: self._note_out,
             ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
             ChannelState: lambda event: setattr(self, "way", event),
             SealConfirmed: lambda event: self.channel.confirmed(event.seal, event.proxy)}
@@ -77,6 +78,7 @@
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at = 0.0 if terms.news_on_request else NEVER
         self.untold, self.untold_at = {}, 0.0       # withdrawals that late joiners missed; when to tell
+        self.clear_at = 0.0                         # when a call of unknown fate last had others before it
         self.horizon = terms.report_every           # the mean span of a report of late, by its tries
         self.spans = 0.0, 0.0                       # of this period's reports, times their tries; the tries
         self.usual = 0.0                            # a report's tries
@@ -160,8 +162,12 @@
 
     def _note_join(self, event: ProxyJoined) -> None:
         self.proxies[event.proxy] = None
+        self._tell_again(b for b in self.backends if b.shut_out)
+
+    def _tell_again(self, backends: Iterable[Backend]) -> None:
+        """Some proxy may have missed that these are withdrawn."""
         self.untold_at = self.untold_at if self.untold else self.now + PUSH_AFTER * JOINS_GATHER
-        self.untold.update((b, None) for b in self.backends if b.shut_out)
+        self.untold.update(dict.fromkeys(backends))
 
     def _note_tries(self, report: TriesReport) -> None:
         # No report counts for much more than the others do of late: many sane ones outweigh a wild one.
@@ -194,8 +200,13 @@
         one = event.slice
         if one.held and event.weight > 0:
             self.backends[event.backend], one.lines[event.backend] = None, event.weight
+            if event.backend.shut_out:      # maybe while no table named it: who joined since was not told
+                self._tell_again([event.backend])
             one.owner = max(one.lines, key=lambda b: (b.phase is Phase.READY, one.lines[b]))
 
+    def _note_out(self, event: OutStands) -> None:
+        self.backends[event.backend], event.backend.shut_out, self.dirty = None, event.out, True
+
     # What it means.
 
     def _share(self, backend: Backend) -> float:
@@ -542,7 +553,9 @@
             self._list_owed()
         self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
                             self.now - self.terms.update_window, self.now * self.way.held)
-        each, head, orders = max(len(self.proxies), 1), self.terms.head_lines + 1, []
+        # Who joins while the call is on its way gets it, too: at a start that is nearly all of them.
+        each = max(len(self.proxies), self.terms.proxies if self.terms.sliced else 1)
+        head, orders = self.terms.head_lines + 1, []
         whole = self.terms.pending_max / each
         most = whole * URGENT_PART - head       # that is ever free; a small channel keeps back less of it
         room = most - self.channel.waiting() / each
@@ -553,7 +566,12 @@
         def worth(lines: int, back: float) -> float:    # the room at which a push is worth its head
             return min(lines, head, (most - back) / 2)
         room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
-        unrun = self.now - self.channel.pushed_at >= PUSH_AFTER  # a call of unknown fate: none confirmed it
+        # A call of unknown fate has not run if none confirmed it within a message's way of all before it.
+        if self.channel.ahead(self.way.unknown):
+            self.clear_at = self.now
+        since = self.now - self.channel.pushed_at
+        alone = min(since, self.now - self.clear_at)
+        unrun = since >= PUSH_AFTER or alone > ANSWER_PART * self.terms.transit_max
         if self.way.unknown and (unrun or room > self.channel.cost(self.way.unknown)):
             self.channel.repeated(self.way.unknown, self.now, unrun)
             self.said.append(RepeatCall(self.way.unknown))
@@ -569,7 +587,7 @@
         if self.now >= self.untold_at and room - spared > worth(len(missed), spared):
             told, self.untold = missed[:int(room - spared)], dict.fromkeys(missed[int(room - spared):])
             orders += [ShutOut(b, True) for b in told]
-            room -= len(told)
+            room, missed = room - len(told), missed[len(told):]
         if self.dirty:
             self._list_owed()
         # Nobody is left without a line: not by a withdrawal now, nor by one before the slice was given.
@@ -578,7 +596,8 @@
             for one in stripped:
                 one.owed = sorted(one.owed, key=lambda order: -getattr(order, "weight", 0.0))[:1]
             room, self.dirty = self._pay(stripped, room - spared, orders) + spared, True
-        if self._may_push():
+        # Pushes of a line or two, one after the other, would take the room that all of these wait for.
+        if self._may_push() and not missed and not any(one.owed for one in stripped):
             room, back, kept = room - kept, kept, 0.0
             if self.levels_due and room > 1:    # only after a try that never ran: no effect comes twice
                 self.levels_due, room = False, room - 1
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -70,6 +70,8 @@
     pushes_allowed: int
     update_window: float
     warm_up: float
+    transit_max: float = 2_000.0    # the longest way of a message from the channel to a proxy, and into force
+    proxies: int = 1            # of the site; where it is sliced, each joins every instance
 
 
 @dataclass(eq=False, slots=True)
@@ -246,6 +248,13 @@
         return not self.free and not self.unknown
 
 
+@dataclass(slots=True)
+class OutStands:
+    """Whether a backend is withdrawn, other than was ordered: the call was given up."""
+    backend: Backend
+    out: bool
+
+
 @dataclass(slots=True)
 class ByHand:
     """What the operators agreed on, in place of what they had: it stands until the next such event.
@@ -259,7 +268,7 @@
 
 
 Event = Union[ByHand, FleetNews, TimerDue, ProbeResult, PeerNote, ProxyJoined, ProxyLeft, TriesReport, ProxyLoad,
-              SliceHeat, Leased, StoredLine, SealConfirmed, ChannelState]
+              SliceHeat, Leased, StoredLine, SealConfirmed, ChannelState, OutStands]
 
 
 # Orders
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -6,7 +6,8 @@
 
 from lifthinge.interface import (
     ChannelState, Event, FetchList, FleetNews, FollowList, Forget, Form, Leased, Listing, Order, Phase, Probe,
-    ProxyJoined, ProxyLeft, RepeatCall, Say, SealConfirmed, SetLine, StoredLine, TellPeers, TimerDue, Wake)
+    OutStands, ProxyJoined, ProxyLeft, RepeatCall, Say, SealConfirmed, SetLine, ShutOut, StoredLine, TellPeers,
+    TimerDue, Wake)
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls
 from lifthinge.memory.world import World
@@ -55,7 +56,8 @@
         self.place, self.books, self.choice, self.world, self.calls = place, books, choice, World(), Calls()
         self.door = Door(place.site, self.world)
         self.reception = Reception(books, self.door, _inbound(place), lambda: self.ready, self.tell)
-        self.relay = Relay(books, self.door, self.calls, place.relay, lambda: self.tell([]), self._refused)
+        self.relay = Relay(books, self.door, self.calls, place.relay, lambda: self.tell([]), self._refused,
+                           self._given_up)
         self.news = News(books, self.door, self.world, self.calls, place.relay, self._tell_news)
         self.discovery = Discovery(books, self.door, self.world, place.discovery, self._tell_list)
         self.agreed: Optional[Agreement] = None
@@ -158,14 +160,14 @@
                 self.relay.confirmed(event.seal)
         self.tell(events)
 
-    def _refused(self, order: Optional[Order]) -> None:
-        """The relay could not use an order: the decisions hear what stands instead.
+    def _given_up(self, orders: list[Order]) -> None:
+        """A whole call was given up: tables are told anew, withdrawals stand as they did before."""
+        self.news.renew()
+        self.tell([OutStands(one.backend, not one.out) for one in orders if isinstance(one, ShutOut)])
 
-        It knows no such backend, or a whole call was given up: then what stands is told anew.
-        """
-        if order is None:
-            self.news.renew()
-        elif isinstance(order, SetLine) and order.slice in self.world.held:
+    def _refused(self, order: Order) -> None:
+        """The relay could not use an order, as it knows no such backend: the decisions hear what stands instead."""
+        if isinstance(order, SetLine) and order.slice in self.world.held:
             gone = Listing(order.backend, order.backend.zone, 0, Phase.GONE, 0.0, order.backend.size)
             self.world.listed.pop(order.backend, None)
             lines = [StoredLine(order.slice, backend, weight) for backend, weight in order.slice.lines.items()
--- a/lifthinge/terms.py
+++ b/lifthinge/terms.py
@@ -71,7 +71,8 @@
         levels=special["Admit"], report_every=special["ReportEvery"] * MS,
         channel_rate=special["ChannelRate"] / MS, head_lines=special["FixedCost"],
         pending_max=special["PendingMax"], pushes_allowed=special["PushesAllowed"],
-        update_window=special["UpdateWindow"] * MS, warm_up=rules["WarmUp"] * MS)
+        update_window=special["UpdateWindow"] * MS, warm_up=rules["WarmUp"] * MS,
+        transit_max=special["TransitMax"] * MS, proxies=max(int(special["DataPlaneSize"]), 1))
 
 
 def _map(conf: dict[str, Any]) -> SiteMap:
--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -1,5 +1,6 @@
 """Discovery: the whole list, then watches without a gap; only differences are told."""
 import logging
+from dataclasses import replace
 from typing import Callable, Optional
 
 from lifthinge.interface import FleetNews, Form, Listing, Phase
@@ -13,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 WATCH_WAIT = 4_000      # ms that a watch asks discovery to wait: a silent one is found out soon after
+WATCH_AGAIN = 1_000     # the same after an answer that was spoilt in part: then the whole list is asked for
 ANSWER_WAIT = 700.0     # beyond that
 RETRY_LEAST, RETRY_MOST = 30.0, 150.0
 OLDER = "older than the list held"
@@ -30,6 +32,7 @@
         self.answered = False           # ever
         self._watches: list[Caller] = []    # each of a line of watches, the newest last
         self._list = Caller(books, "discovery_list", where)
+        self._spoilt = False            # the last answer had entries that could not be used
         self._older = range(0)          # versions below the one held that are believed of a list
 
     def close(self) -> None:
@@ -43,16 +46,18 @@
     async def follow(self) -> None:
         """Watches for good: for sites that push, or once a subscription has been asked for."""
         watch, failures, since = Caller(self.books, "discovery_watch", self.where), 0, False
+        wait = WATCH_WAIT
         self._watches.append(watch)
         try:
             while watch in self._watches:
                 began, version = self.books.now, self.world.version
-                failure = await self._call(watch, since)
+                failure = await self._call(watch, since, wait)
                 if failure is None:
                     self._end_before(watch)
                     if since and version == self.world.version and self.books.now - began < RETRY_MOST:
                         await self.books.pause(RETRY_LEAST)     # it did not wait: no reason to spin
-                    failures, since = 0, True
+                    failures, since = 0, wait != WATCH_AGAIN    # then a short watch is over, and all is asked
+                    wait = WATCH_AGAIN if self._spoilt and since else WATCH_WAIT
                     continue
                 failures, since = failures + 1, since and failure.detail != OLDER
                 if watch not in self._watches[-1:]:     # there is a newer address
@@ -77,10 +82,9 @@
         if await self._call(self._list, False) is not None:
             self.tell(FleetNews(Form.MISSED, []))
 
-    async def _call(self, caller: Caller, since: bool) -> Optional[Failure]:
-        path = names.LIST_PATH + (
-            f"?{names.SINCE}={self.world.version}&{names.WAIT}={WATCH_WAIT}" if since else "")
-        result = await caller.call(get(path), ANSWER_WAIT + (WATCH_WAIT if since else 0))
+    async def _call(self, caller: Caller, since: bool, wait: int = WATCH_WAIT) -> Optional[Failure]:
+        path = names.LIST_PATH + (f"?{names.SINCE}={self.world.version}&{names.WAIT}={wait}" if since else "")
+        result = await caller.call(get(path), ANSWER_WAIT + (wait if since else 0))
         if not isinstance(result, Failure):
             message = read_object(result.body) if result.status == 200 else Skip(f"status {result.status}")
             trouble = message if isinstance(message, Skip) else self._take(message, not since)
@@ -130,17 +134,29 @@
         return None
 
     def _read(self, entries: list) -> tuple[list[Listing], set]:
-        """The entries that can be used, and every id that is named, usable or not."""
+        """The entries that can be used, and every id that is named, usable or not.
+
+        Of one that is spoilt it still counts that the backend leaves, if that can be read.
+        """
+        self._spoilt = False
         listings, named = [], {entry.get(names.ID) for entry in entries
                                if isinstance(entry, dict) and isinstance(entry.get(names.ID), str)}
         for entry in entries:
             listing = self.door.listing(entry)
             if isinstance(listing, Skip):
                 self.books.notices.note("bad_listing", why=listing.why)
-            else:
+                self._spoilt = True
+                listing = self._leaving(entry)
+            if listing is not None:
                 listings.append(listing)
         return listings, named
 
+    def _leaving(self, entry: object) -> Optional[Listing]:
+        """A backend that is listed, as an entry that is spoilt elsewhere has it drain or gone."""
+        found = self.door.leaving(entry)
+        former = None if isinstance(found, Skip) else self.world.listed.get(found[0])
+        return former and replace(former, phase=found[1])
+
     def _keep(self, listings: list[Listing]) -> None:
         for one in listings:
             if one.phase is Phase.GONE:
--- a/lifthinge/wire/door.py
+++ b/lifthinge/wire/door.py
@@ -137,6 +137,15 @@
         """One entry of the list; its address is noted."""
         return self._guard(lambda: self._listing(Fields(entry)))
 
+    def leaving(self, entry: Any) -> Union[tuple[Backend, Phase], Skip]:
+        """Of an entry that can't be used as a whole: the backend, if that is to go."""
+        def read() -> tuple[Backend, Phase]:
+            found, phase = self._backend_of(Fields(entry), names.ID), names.PHASES.get(Fields(entry).text(names.PHASE))
+            if phase not in (Phase.DRAINING, Phase.GONE):
+                raise _Unfit("it does not leave")
+            return found, phase
+        return self._guard(read)
+
     def version(self, answer: dict[str, Any]) -> Union[tuple[int, bool, list], Skip]:
         """The version of a list, whether it is whole, and its entries."""
         def read() -> tuple[int, bool, list]:
@@ -166,7 +175,10 @@
             return Skip(str(why))
 
     def _backend(self, fields: Fields) -> Backend:
-        found = self.world.backends.get(fields.text(names.BACKEND))
+        return self._backend_of(fields, names.BACKEND)
+
+    def _backend_of(self, fields: Fields, key: str) -> Backend:
+        found = self.world.backends.get(fields.text(key))
         if found is None:
             raise _Unfit("the backend is not known")
         return found
--- a/lifthinge/wire/relay.py
+++ b/lifthinge/wire/relay.py
@@ -27,13 +27,14 @@
 class Relay:
     """`changed` is called when all orders given are settled, or one call's fate becomes unknown.
 
-    `refused` takes an order that the relay can't use, or None when a whole call was given up.
+    `refused` takes an order that the relay can't use, `given_up` those of a whole call.
     """
 
     def __init__(self, books: Books, door: Door, calls: Calls, where: tuple[str, int],
-                 changed: Callable[[], None], refused: Callable[[Optional[Order]], None]) -> None:
+                 changed: Callable[[], None], refused: Callable[[Order], None],
+                 given_up: Callable[[list[Order]], None]) -> None:
         self.books, self.door, self.calls = books, door, calls
-        self.changed, self.refused = changed, refused
+        self.changed, self.refused, self.given_up = changed, refused, given_up
         self.unknown = 0        # the seal of a call whose fate is unknown, until it goes out again
         self._caller = Caller(books, "relay_call", where)
         self._given, self._known = asyncio.Event(), asyncio.Event()
@@ -109,7 +110,7 @@
             self.books.notices.note("relay_call_given_up", orders=len(call))
             self.calls.settle(call)
             self._errors = 0
-            self.refused(None)
+            self.given_up([one.order for one in call])
         else:
             await self._again(True)
 
--- a/tests/play/network.py
+++ b/tests/play/network.py
@@ -35,7 +35,8 @@
     "Rules": {"WarmUp": 16.0},
     "Specifics": {
         "Ranges": 8, "DataPlaneSize": 6, "Admit": "ratio", "ReportEvery": 0.5, "ChannelRate": 5000.0,
-        "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0, "ConnsLeast": 400.0}}
+        "FixedCost": 16.0, "PendingMax": 7500.0, "PushesAllowed": 0, "UpdateWindow": 10.0, "ConnsLeast": 400.0,
+        "TransitMax": 0.3}}
 PATIENCE = 5.0      # real seconds until a scenario that waits for something has failed
 PATHS = {"call": b"POST /v3/kv/txn ", "news": b"GET /v3/kv/watch ", "list": b"GET /v1/endpoints",
          "probe": b"GET /"}
--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -10,10 +10,11 @@
     hand a,b|- [zone:SHARE ..] [method=WORTH ..]    what the operators agreed on
     missed                  the list could not be had
     join N .. / leave N     proxies come, one goes
+    late N ..               proxies join while the last call is on its way: they get it, too
     given S a:W b:W / taken S
     heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
     once a TOTAL ABORTED TOOK                            one report beside them
-    confirm yes|no          whether seals are confirmed (after 100 ms)
+    confirm yes|no|paced    whether seals are confirmed (after 100 ms), or as the channel gets round to each proxy
     channel free|held|unknown       what is heard of it from now on; unknown: the last call's fate
     kill                    the instance dies; the next one knows nothing
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
@@ -21,8 +22,8 @@
 and, as assertions: `owner S a`, `part S a P` (of a slice's
 RPCs, were it let in), `bare S`, `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
 `unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
-wait, at most), `followed N`, `bound N`, `repeated N` (calls), `forgot a`. In all scenarios a slice keeps
-an open line while one is ready.
+wait, at most), `followed N`, `bound N`, `repeated N` (calls), `forgot a`, `untold P N` (backends out
+of whose withdrawal proxy P was never told, though a table names them). In all scenarios a slice keeps an open line while one is ready.
 """
 from dataclasses import replace
 
@@ -47,7 +48,7 @@
         self.names: dict = {}
         self.reports: dict = {}
         self.due: list = []
-        self.confirming = True
+        self.confirming = "yes"
         self.reborn()
 
     def reborn(self) -> None:
@@ -55,7 +56,8 @@
         self.said, self.sent, self.followed, self.bound, self.waiting = [], 0, 0, set(), {}
         self.forgotten: set[Backend] = set()
         self.next_report, self.due = self.now + self.terms.report_every, []
-        self.state, self.repeats, self.sealed = None, 0, 0
+        self.state, self.repeats, self.sealed, self.free_at, self.last = None, 0, 0, self.now, 0.0
+        self.told: dict[Proxy, set[Backend]] = {}   # withdrawn backends, as far as a proxy was told
 
     def name(self, kind: type, name: str) -> object:
         key = kind, name
@@ -74,8 +76,15 @@
             marks += [order.number] if isinstance(order, Seal) else []
         for number in marks:
             self.sealed = number
-            self.waiting[number] = (lines + self.terms.head_lines) * len(self.joined)
-            if self.confirming:
+            self.last = lines + self.terms.head_lines
+            self.waiting[number] = self.last * len(self.joined)
+            if self.confirming == "paced":      # one proxy's message after the other
+                self.free_at = max(self.free_at, self.now)
+                for place, proxy in enumerate(self.joined, 1):
+                    self.free_at += (lines + self.terms.head_lines) / self.terms.channel_rate
+                    self.due.append((self.free_at + 100.0, [SealConfirmed(proxy, number, 100.0)],
+                                     number if place == len(self.joined) else 0))
+            elif self.confirming == "yes":
                 answers = [SealConfirmed(p, number, 100.0) for p in self.joined]
                 self.due.append((self.now + 100.0, answers, number))
         ready = any(kind is Backend and one.phase is Phase.READY for (kind, _), one in self.names.items())
@@ -90,7 +99,8 @@
             if not order.weight:
                 del table[order.backend]
         elif isinstance(order, ShutOut):
-            (self.out.add if order.out else self.out.discard)(order.backend)
+            for backends in (self.out, *self.told.values()):
+                (backends.add if order.out else backends.discard)(order.backend)
         elif isinstance(order, SetLevel):
             assert order.retry <= Retry.NEVER_RAN, "an effect may come twice"
             for slice_ in [order.slice] if order.slice else self.tables:
@@ -163,11 +173,16 @@
     def do_join(self, *numbers: str) -> None:
         for number in numbers:
             proxy = self.name(Proxy, number)
-            self.joined[proxy] = None
+            self.joined[proxy], self.told[proxy] = None, set()
             self.tell(ProxyJoined(proxy, True))
 
+    def do_late(self, *numbers: str) -> None:
+        self.waiting[self.sealed] += self.last * len(numbers)
+        self.do_join(*numbers)
+
     def do_leave(self, number: str) -> None:
         self.joined.pop(self.name(Proxy, number), None)
+        self.told.pop(self.name(Proxy, number), None)
         self.tell(ProxyLeft(self.name(Proxy, number)))
 
     def do_given(self, number: str, *lines: str) -> None:
@@ -195,7 +210,7 @@
             self.name(Slice, number), 0, int(total), 0, span)
 
     def do_confirm(self, word: str) -> None:
-        self.confirming = word == "yes"
+        self.confirming = word
 
     def do_channel(self, state: str) -> None:
         self.state = ChannelState(state == "free", self.sealed if state == "unknown" else 0)
@@ -225,6 +240,11 @@
     def do_out(self, name: str) -> None:
         assert self.name(Backend, name) in self.out, "it is in"
 
+    def do_untold(self, number: str, count: str) -> None:
+        named = {backend for table in self.tables.values() for backend in table}
+        found = (self.out & named) - self.told[self.name(Proxy, number)]
+        assert len(found) == int(count), f"it was not told of {sorted(b.name for b in found)}"
+
     def do_forgot(self, name: str) -> None:
         assert self.name(Backend, name) in self.forgotten, "it is kept"
         assert self.name(Backend, name) not in self.choice.backends, "the decisions keep it"
