--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -12,8 +12,8 @@
 from lifthinge.channel import Channel
 from lifthinge.interface import (
     Backend, BindProxy, ByHand, ChannelState, Event, FleetNews, FollowList, Forget, Form, Leased, Order,
-    OutStands, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel, SetLine,
-    ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
+    OutStands, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel,
+    SetLine, ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TriesReport, Wake)
 from lifthinge.tables import bare, part_if_in, parts
 
 # The mechanism, as the design page settles it.
@@ -78,6 +78,7 @@
         self.now = self.fold_at = self.round_at = self.wake_at = self.cool_until = self.plan_worst = 0.0
         self.follow_at = 0.0 if terms.news_on_request else NEVER
         self.untold, self.untold_at = {}, 0.0       # withdrawals that late joiners missed; when to tell
+        self.joined_at = 0.0                        # when a proxy last joined
         self.clear_at = 0.0                         # when a call of unknown fate last had others before it
         self.horizon = terms.report_every           # the mean span of a report of late, by its tries
         self.spans = 0.0, 0.0                       # of this period's reports, times their tries; the tries
@@ -161,7 +162,7 @@
         backend.ratio, backend.strikes, backend.dry, backend.late = None, 0, 0.0, (0.0, 0.0)
 
     def _note_join(self, event: ProxyJoined) -> None:
-        self.proxies[event.proxy] = None
+        self.proxies[event.proxy], self.joined_at = None, self.now
         self._tell_again(b for b in self.backends if b.shut_out)
 
     def _tell_again(self, backends: Iterable[Backend]) -> None:
@@ -553,8 +554,9 @@
             self._list_owed()
         self.channel.forget(self.now - SLOWEST * self.terms.pending_max / self.terms.channel_rate,
                             self.now - self.terms.update_window, self.now * self.way.held)
-        # Who joins while the call is on its way gets it, too: at a start that is nearly all of them.
-        each = max(len(self.proxies), self.terms.proxies if self.terms.sliced else 1)
+        # While proxies come in, more may join before the call is carried out, and get it, too.
+        coming = self.terms.sliced and self.now - self.joined_at < PUSH_AFTER * JOINS_GATHER
+        each = max(len(self.proxies), self.terms.proxies if coming else 1)
         head, orders = self.terms.head_lines + 1, []
         whole = self.terms.pending_max / each
         most = whole * URGENT_PART - head       # that is ever free; a small channel keeps back less of it
