--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -584,10 +584,13 @@
                     if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
                 orders.append(ShutOut(backend, True))
                 backend.shut_out, self.dirty, room = True, True, room - 1
-        # Who joined late has missed the withdrawals so far: told together, as each push costs its head.
+        # Who joined late has missed the withdrawals so far: told together, as each push costs its head, and first
+        # of whom most RPCs would reach. A further message that withdraws a batch always has room.
         missed = [b for b in self.untold if b.shut_out and any(b in one.lines for one in self.slices)]
-        if self.now >= self.untold_at and room - spared > worth(len(missed), spared):
-            told, self.untold = missed[:int(room - spared)], dict.fromkeys(missed[int(room - spared):])
+        more = min(batch - head, most / 2)
+        if self.now >= self.untold_at and room - more > worth(len(missed), more):
+            missed.sort(key=lambda b: -max(part_if_in(one.lines, b) for one in self.slices if b in one.lines))
+            told, self.untold = missed[:int(room - more)], dict.fromkeys(missed[int(room - more):])
             orders += [ShutOut(b, True) for b in told]
             room, missed = room - len(told), missed[len(told):]
         if self.dirty:
