--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -568,12 +568,12 @@
         def worth(lines: int, back: float) -> float:    # the room at which a push is worth its head
             return min(lines, head, (most - back) / 2)
         room *= len(self.channel.pushes) < (self.terms.pushes_allowed or NEVER)
-        # A call of unknown fate has not run if none confirmed it within a message's way of all before it.
+        # A call that broke off has not run if none confirmed it within a message's way of all before it.
         if self.channel.ahead(self.way.unknown):
             self.clear_at = self.now
         since = self.now - self.channel.pushed_at
         alone = min(since, self.now - self.clear_at)
-        unrun = since >= PUSH_AFTER or alone > ANSWER_PART * self.terms.transit_max
+        unrun = since >= PUSH_AFTER or self.way.broken and alone > ANSWER_PART * self.terms.transit_max
         if self.way.unknown and (unrun or room > self.channel.cost(self.way.unknown)):
             self.channel.repeated(self.way.unknown, self.now, unrun)
             self.said.append(RepeatCall(self.way.unknown))
@@ -584,8 +584,8 @@
                     if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
                 orders.append(ShutOut(backend, True))
                 backend.shut_out, self.dirty, room = True, True, room - 1
-        # Who joined late has missed the withdrawals so far: told together, as each push costs its head. First of
-        # those whom most RPCs would reach; a further message that withdraws a batch always has room.
+        # Who joined late has missed the withdrawals so far. They go together, as each push costs its head, and first
+        # of whom most RPCs would reach. A further message that withdraws a batch always has room.
         missed = [b for b in self.untold if b.shut_out and any(b in one.lines for one in self.slices)]
         more = min(batch - head, most / 2)
         if self.now >= self.untold_at and room - more > worth(len(missed), more):
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -241,6 +241,7 @@
     """Whether the channel takes orders now; the seal of a call of which it is not known whether it ran."""
     free: bool
     unknown: int = 0
+    broken: bool = field(default=False, compare=False)  # it broke off: the relay is there, and answers would be heard
 
     @property
     def held(self) -> bool:
--- a/lifthinge/memory/stand.py
+++ b/lifthinge/memory/stand.py
@@ -27,15 +27,11 @@
         elif isinstance(event, StoredLine):
             self.lines.setdefault(event.slice, {})[event.backend] = event.weight
 
-    def difference(self, world: World, gap: bool) -> list[Event]:
-        """What vanished, what is new, and tables that differ though no order has touched them meanwhile.
-
-        Where nobody listened for a while, a proxy that joined before and after may have left and come back in
-        between. It would have missed the withdrawals ordered until then: it counts as joined anew.
-        """
+    def difference(self, world: World) -> list[Event]:
+        """What vanished, what is new, and tables that differ though no order has touched them meanwhile."""
         told: list[Event] = [ProxyLeft(proxy) for proxy in world.joined if proxy not in self.joined]
         told += [event for proxy, event in self.joined.items()
-                 if gap or proxy not in world.joined or event.first_time and not world.joined[proxy]]
+                 if proxy not in world.joined or event.first_time and not world.joined[proxy]]
         told += [Leased(one, False) for one in world.held if one not in self.lines]
         for one, lines in self.lines.items():
             touched = self._calls.touched(one, self._since)
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -176,7 +176,7 @@
 
     def _turn(self) -> None:
         events, self._events, self._turn_due = self._events, [], False
-        began, way = self.books.now, ChannelState(not self.calls, self.relay.unknown)
+        began, way = self.books.now, ChannelState(not self.calls, self.relay.unknown, self.relay.broken)
         try:
             orders = self.choice.decide(began, [way, *events])
         except Exception as error:  # what is decided next may be better; who asks hears that it is not well
--- a/lifthinge/wire/news.py
+++ b/lifthinge/wire/news.py
@@ -61,10 +61,6 @@
     def _silent(self) -> None:
         self.report(Failure(self.reach(), Cause.LATE, "silent"))
 
-    def listened(self) -> bool:
-        """Whether it is heard all along: nothing is amiss, or another was wanted for a reason of our own."""
-        return not self.trouble.done() or self.trouble.result().cause in (Cause.MOVED, Cause.RENEWED)
-
     def report(self, result: Result) -> None:
         """Another stream is wanted; this one is heard on. One that ends as an answer does has broken off."""
         if not self.trouble.done():
@@ -146,10 +142,9 @@
         """This stream takes the place of the one before."""
         self._tell_given()
         former, self._live = self._live, connection
-        heard_on = former is not None and not former.lost and former.listened()
-        told = connection.stand.difference(self.world, not heard_on) if connection.stand else []
         if former is not None and former is not connection:
             former.abort()
+        told = connection.stand.difference(self.world) if connection.stand else []
         connection.stand = None
         self.books.counters.add("news.stands")
         self.books.counters.add("news.differences", len(told))
--- a/lifthinge/wire/relay.py
+++ b/lifthinge/wire/relay.py
@@ -9,7 +9,7 @@
 from typing import Callable, Iterable, Optional
 
 from lifthinge.interface import Order
-from lifthinge.memory.attempts import Failure
+from lifthinge.memory.attempts import Cause, Failure
 from lifthinge.memory.books import Books
 from lifthinge.memory.calls import Calls, Pending
 from lifthinge.wire import names
@@ -36,6 +36,7 @@
         self.books, self.door, self.calls = books, door, calls
         self.changed, self.refused, self.given_up = changed, refused, given_up
         self.unknown = 0        # the seal of a call whose fate is unknown, until it goes out again
+        self.broken = False     # whether it broke off; else the relay was silent or could not be read
         self._caller = Caller(books, "relay_call", where)
         self._given, self._known = asyncio.Event(), asyncio.Event()
         self._failures = self._errors = 0   # in a row
@@ -84,7 +85,7 @@
         if isinstance(result, Failure):
             self.books.notices.note("relay_call_failed", reach=result.reach.value, cause=result.cause.value,
                                     detail=result.detail)
-            await self._again(result.may_have_run)
+            await self._again(result.may_have_run, result.cause is Cause.BROKEN)
             return
         answer = read_object(result.body)
         accepted = answer.get(names.ACCEPTED) if isinstance(answer, dict) else None
@@ -114,12 +115,12 @@
         else:
             await self._again(True)
 
-    async def _again(self, may_have_run: bool) -> None:
+    async def _again(self, may_have_run: bool, broken: bool = False) -> None:
         self._failures += 1
         if self._failures > 1:
             await self.books.pause(RETRY_LEAST + self.books.dice.random() * (RETRY_MOST - RETRY_LEAST))
         if may_have_run and (seal := self.calls.seal()):
-            self.unknown = seal
+            self.unknown, self.broken = seal, broken
             self._known.clear()
             self.changed()
             await self._known.wait()
--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -15,7 +15,7 @@
     heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
     once a TOTAL ABORTED TOOK                            one report beside them
     confirm yes|no|paced    whether seals are confirmed (after 100 ms), or as the channel gets round to each proxy
-    channel free|held|unknown       what is heard of it from now on; unknown: the last call's fate
+    channel free|held|unknown|broken    what is heard of it from now on; unknown: the last call's fate; broken: it broke off
     kill                    the instance dies; the next one knows nothing
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
 
@@ -213,7 +213,7 @@
         self.confirming = word
 
     def do_channel(self, state: str) -> None:
-        self.state = ChannelState(state == "free", self.sealed if state == "unknown" else 0)
+        self.state = ChannelState(state == "free", self.sealed if state in ("unknown", "broken") else 0, state == "broken")
         self.tell()
 
     def do_repeated(self, count: str) -> None:
