--- a/lifthinge/choice.py
+++ b/lifthinge/choice.py
@@ -584,8 +584,8 @@
                     if backend.phase is not Phase.READY or self._open(backend) else kept + 1):
                 orders.append(ShutOut(backend, True))
                 backend.shut_out, self.dirty, room = True, True, room - 1
-        # Who joined late has missed the withdrawals so far. Those go together, as each push costs its head, the
-        # backends that most RPCs would reach first. A further message that withdraws a batch always has room.
+        # Who joined late has missed the withdrawals so far. They go together, as each push costs its head,
+        # those first whom most RPCs would reach. A further message that withdraws a batch always has room.
         missed = [b for b in self.untold if b.shut_out and any(b in one.lines for one in self.slices)]
         more = min(batch - head, most / 2)
         if self.now >= self.untold_at and room - more > worth(len(missed), more):
