--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -16,6 +16,7 @@
     once a TOTAL ABORTED TOOK                            one report beside them
     confirm yes|no|paced    whether seals are confirmed (after 100 ms), or as the channel gets round to each proxy
     channel free|held|unknown|broken    what is heard of it from now on; unknown: the last call's fate; broken: it broke off
+    undone a                the call that withdrew it was given up
     kill                    the instance dies; the next one knows nothing
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
 
@@ -30,7 +31,7 @@
 from lifthinge.choice import Choice
 from lifthinge.interface import (
     Backend, BindProxy, ByHand, ChannelState, ClearTable, FleetNews, Forget, Form, FollowList, Leased, Listing,
-    Method, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel,
+    Method, OutStands, Phase, Proxy, ProxyJoined, ProxyLeft, RepeatCall, Retry, Say, Seal, SealConfirmed, SetLevel,
     SetLine, ShutOut, SiteTerms, Slice, SliceHeat, StoredLine, TimerDue, TriesReport, Wake)
 
 TERMS = SiteTerms(
@@ -212,6 +213,12 @@
     def do_confirm(self, word: str) -> None:
         self.confirming = word
 
+    def do_undone(self, name: str) -> None:
+        backend = self.name(Backend, name)
+        for backends in (self.out, *self.told.values()):
+            backends.discard(backend)
+        self.tell(OutStands(backend, False))
+
     def do_channel(self, state: str) -> None:
         self.state = ChannelState(state == "free", self.sealed if state in ("unknown", "broken") else 0, state == "broken")
         self.tell()
