--- a/review/standin/members.py
+++ b/review/standin/members.py
@@ -23,10 +23,13 @@
 class Members:
     """Three members, their files in a temporary folder, and the command line."""
 
-    def __init__(self, record: Record, folder: Path, names: str = "abc") -> None:
+    def __init__(
+        self, record: Record, folder: Path, names: str = "abc", election_ms: int = 1000
+    ) -> None:
         self.record = record
         self.folder = folder
         self.names = names
+        self.election_ms = election_ms
         self.ports = {name: free_port() for name in names}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         os.umask(0o077)
@@ -48,7 +51,7 @@
   folder = "{self.folder}/{name}"
   key_file = "{self.folder}/members.key"
   client_key_file = "{self.folder}/clients.key"
-  election_ms = 1000
+  election_ms = {self.election_ms}
   beat_ms = 100
   start_with = {{
 {first}
