--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -321,6 +321,7 @@
         self.is_cut = False  # whether the relay neither reads nor answers
         self.calls = 0
         self.on_call = None  # (orders) -> None | "break-before" | "break-after" | "silent" ...
+        self.on_write = None  # (proxy, slice, server, time), for each write that is sent
         self.violations: list[str] = []
         self.sends: dict[tuple[int, str], int] = {}
         # (slice, method) -> RPCs that came, RPCs refused under a level
@@ -339,7 +340,9 @@
         self.failing: dict[str, float] = {}
         self.known: dict = {"version": 40, "full": True, "servers": []}
         self.collectors_on = True
-        self.done_delay_s = 0.0
+        self.channel_free_at = 0.0
+        self.most_waiting = 0.0  # lines in the channel
+        self.checks_bare = True
 
     # The relay.
 
@@ -457,6 +460,8 @@
                     if kind == "DEL":
                         table.clear()
                     elif order["weight"] > 0:
+                        if self.settings["Specifics"]["OneOwner"]:
+                            table.clear()
                         table[order["server"]] = order["weight"]
                     else:
                         table.pop(order["server"], None)
@@ -472,14 +477,29 @@
                 changes.append(order)
             accepted += 1
         if changes or to_all:
-            for proxy in self.proxies:
-                if proxy.joined:
-                    delay = self.random.uniform(0.09, 0.26) + self.done_delay_s
-                    asyncio.get_running_loop().call_later(
-                        delay, self._deliver, proxy, proxy.life, changes, mark, delay
-                    )
+            self._send_messages(changes, mark)
         return accepted
 
+    def _send_messages(self, changes: list[dict], mark: int | None) -> None:
+        """Send a message to each joined proxy: one after another, at the channel's lines a second.
+
+        A message counts its head, its lines and one for the mark.
+        """
+        specifics = self.settings["Specifics"]
+        lines = specifics["FixedCost"] + len(changes) + (mark is not None)
+        now = time.monotonic()
+        for proxy in self.proxies:
+            if proxy.joined:
+                self.channel_free_at = (
+                    max(self.channel_free_at, now) + lines / specifics["ChannelRate"]
+                )
+                delay = self.channel_free_at - now + self.random.uniform(0.05, 0.2)
+                asyncio.get_running_loop().call_later(
+                    delay, self._deliver, proxy, proxy.life, changes, mark, delay
+                )
+        waiting = (self.channel_free_at - now) * specifics["ChannelRate"]
+        self.most_waiting = max(self.most_waiting, waiting)
+
     def _deliver(
         self, proxy: Proxy, life: int, changes: list[dict], mark: int | None, took: float
     ) -> None:
@@ -494,6 +514,8 @@
             elif kind == "SET" and proxy.has_read:
                 table = proxy.tables.setdefault(order["group"], {})
                 if order["weight"] > 0:
+                    if self.settings["Specifics"]["OneOwner"]:
+                        table.clear()
                     table[order["server"]] = order["weight"]
                 else:
                     table.pop(order["server"], None)
@@ -538,31 +560,34 @@
             proxy.has_read = True
 
     async def traffic(self) -> None:
-        """All proxies send, each at its rate, to slices at random."""
+        """Let the proxies send, each at its rate, to slices at random."""
         tick = 0.02
         numbers = sorted(self.store)
+        rates = [proxy.rate for proxy in self.proxies]
+        wanted = sum(rates) * tick
         while True:
             await asyncio.sleep(tick)
             now = time.monotonic()
-            for proxy in self.proxies:
+            count = int(wanted) + (self.random.random() < wanted % 1)
+            for proxy in self.random.choices(self.proxies, rates, k=count):
                 if not proxy.has_read:
                     continue
-                wanted = proxy.rate * tick
-                count = int(wanted) + (self.random.random() < wanted % 1)
-                for _ in range(count):
-                    number = self.random.choice(numbers)
-                    method = self.random.random() < 0.5
-                    key = number, int(method)
-                    self.slice_counts[key] = self.slice_counts.get(key, 0) + 1
-                    lines = proxy.lines(number)
-                    tally = self.let_in.setdefault((number, METHODS[method]), [0, 0])
-                    tally[0] += 1
-                    if self.random.random() >= proxy.level(number, METHODS[method]):
-                        tally[1] += 1
-                    elif lines:
-                        server = self.random.choices(list(lines), list(lines.values()))[0]
-                        self._send(proxy, server, now)
-                self._check_bare(proxy, now)
+                number = self.random.choice(numbers)
+                method = int(self.random.random() < 0.5)
+                self.slice_counts[number, method] = self.slice_counts.get((number, method), 0) + 1
+                tally = self.let_in.setdefault((number, METHODS[method]), [0, 0])
+                tally[0] += 1
+                lines = proxy.lines(number)
+                if self.random.random() >= proxy.level(number, METHODS[method]):
+                    tally[1] += 1
+                elif lines:
+                    server = self.random.choices(list(lines), list(lines.values()))[0]
+                    self._send(proxy, server, now)
+                    if self.on_write and method == 1:
+                        self.on_write(proxy, number, server, now)
+            if self.checks_bare:
+                for proxy in self.proxies:
+                    self._check_bare(proxy, now)
 
     def _send(self, proxy: Proxy, name: str, now: float) -> None:
         server = self.servers[name]
@@ -749,14 +774,19 @@
         self.controller.send_signal(signal.SIGHUP)
         self.record("controller: sent SIGHUP")
 
-    async def begin(self, extra: str = "") -> None:
-        """Open everything, start the controller, and let the proxies join and send."""
+    async def begin(self, extra: str = "", first_join_s: float = 0.3) -> None:
+        """Open everything, start the controller, and let the proxies join and send.
+
+        The proxies come within a second, from `first_join_s` after the answer to `hb` on.
+        """
         await self.open()
         await self.start_controller(extra)
-        for proxy in self.proxies:
-            self.join(proxy)
         self.tasks.append(asyncio.ensure_future(self.traffic()))
         self.tasks.append(asyncio.ensure_future(self.collectors()))
+        await asyncio.sleep(first_join_s)
+        for proxy in self.proxies:
+            self.join(proxy)
+            await asyncio.sleep(1.0 / len(self.proxies))
 
     async def end(self) -> None:
         """End all that was started."""
