--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Two drains that are told while the relay is silent for 2.5 s, at 400 proxies."""
+"""Two drains that are told while the relay is silent for 2.5 s, at 150 proxies."""
 
 import asyncio
 import sys
@@ -9,15 +9,15 @@
 
 from standin.world import GRACE_S, SOCKET_SLACK_S, Record, World, main  # noqa: E402
 
-BACKENDS, SLICES, PROXIES = 30, 150, 400
-LINES_PER_S = 10000.0  # slices x proxies / 6 at least (bench page)
+BACKENDS, SLICES, PROXIES = 15, 75, 150
+LINES_PER_S = 6400.0
 SILENT_S = 2.5  # the relay answers no call meanwhile, and carries none out
 SILENT_EXCUSE_S = 1.5  # PROTOCOL.md: for each call that falls silent
 
 
 async def play(record: Record, trouble: bool) -> list[str] | None:
     """Play the case; return the breaches of the rule."""
-    world = World(record, servers=BACKENDS, slices=SLICES, proxies=PROXIES, rate=1.0)
+    world = World(record, servers=BACKENDS, slices=SLICES, proxies=PROXIES, rate=2.0)
     world.settings["Specifics"]["ChannelRate"] = LINES_PER_S
     world.settings["Specifics"]["PendingMax"] = 1.5 * LINES_PER_S
     world.checks_bare = False
