--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -808,6 +808,14 @@
         self.folder.cleanup()
 
 
+async def _play_until_signal(play) -> list[str] | None:
+    """Play for 115 s at most; SIGTERM and SIGINT end the play, which ends what it started."""
+    task = asyncio.ensure_future(asyncio.wait_for(play, 115))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
+
+
 def main(here: Path, play) -> int:
     """Run `play(record, trouble)`, which returns the rule's breaches, or None if it can't run.
 
@@ -817,8 +825,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
     try:
-        found = asyncio.run(asyncio.wait_for(play(record, trouble), 115))
-    except Exception as error:  # the case could not run
+        found = asyncio.run(_play_until_signal(play(record, trouble)))
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
