--- /dev/null
+++ b/lifthinge/channel_budget.py
@@ -0,0 +1,64 @@
+"""Room of the channel to the proxies: how many table entries a decision may send, and for what.
+
+All quantities are table entries for each receiver of a message. A message costs its entries and a
+fixed overhead, which is counted in entries, too.
+
+>>> budget = ChannelBudget(
+...     capacity=64.0, overhead=17.0, batch_entries=20.0, waiting_entries=0.0, has_pushes_left=True
+... )
+>>> round(budget.usable_capacity, 1), round(budget.room, 1)
+(40.6, 40.6)
+>>> budget.urgent_reserve, budget.withdrawal_reserve, budget.batch_reserve
+(20.3, 20.0, 3.0)
+>>> budget.min_room(2, budget.withdrawal_reserve), budget.min_room(99, budget.withdrawal_reserve)
+(2, 10.3)
+"""
+
+from dataclasses import dataclass, field
+
+# Fraction of the channel's queue that is ever used.
+USABLE_CHANNEL_FRACTION = 0.9
+# Fraction of the queue that is kept free of orders that can wait.
+URGENT_RESERVE_FRACTION = 0.5
+# Fraction of the queue that is kept for withdrawals, and free of entries for tables that lack an
+# active entry.
+WITHDRAWAL_RESERVE_FRACTION = 0.25
+# A small channel keeps at most this fraction of its usable queue free of entries that can wait.
+MAX_URGENT_RESERVE_FRACTION = 0.75
+
+
+@dataclass(slots=True)
+class ChannelBudget:
+    """The room that is left for the orders of one decision, and the reserves in it.
+
+    Each reserve has room for a further message that withdraws as many backends as may be suspect
+    at once, `batch_entries` with its overhead. A small channel keeps back less.
+    """
+
+    capacity: float  # of the queue
+    overhead: float  # of a message
+    batch_entries: float
+    waiting_entries: float  # in the queue
+    has_pushes_left: bool  # whether the site allows another message now
+    usable_capacity: float = field(init=False)  # beside the overhead of a message
+    room: float = field(init=False)
+    urgent_reserve: float = field(init=False)  # kept free of orders that can wait
+    withdrawal_reserve: float = field(init=False)  # kept free of all orders but withdrawals
+    batch_reserve: float = field(init=False)  # the entries of a batch, without its overhead
+
+    def __post_init__(self) -> None:
+        self.usable_capacity = self.capacity * USABLE_CHANNEL_FRACTION - self.overhead
+        self.room = (self.usable_capacity - self.waiting_entries) * self.has_pushes_left
+        self.urgent_reserve = max(
+            min(self.capacity * URGENT_RESERVE_FRACTION, self.usable_capacity / 2),
+            min(self.batch_entries, self.usable_capacity * MAX_URGENT_RESERVE_FRACTION),
+        )
+        self.withdrawal_reserve = max(
+            min(self.capacity * WITHDRAWAL_RESERVE_FRACTION, self.usable_capacity / 4),
+            min(self.batch_entries, self.usable_capacity / 2),
+        )
+        self.batch_reserve = min(self.batch_entries - self.overhead, self.usable_capacity / 2)
+
+    def min_room(self, entries: int, reserve: float) -> float:
+        """Return the room beside a reserve from which on a push is worth its overhead."""
+        return min(entries, self.overhead, (self.usable_capacity - reserve) / 2)
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -14,6 +14,7 @@
 from statistics import median
 
 from lifthinge.channel import Channel
+from lifthinge.channel_budget import URGENT_RESERVE_FRACTION, ChannelBudget
 from lifthinge.interface import (
     AttemptReport,
     Backend,
@@ -156,16 +157,6 @@
 
 # Channel to the proxies
 
-# Fraction of the channel's queue that is ever used.
-USABLE_CHANNEL_FRACTION = 0.9
-# Fraction of the queue, and of the pushes allowed in a window, that is kept free of orders that can
-# wait.
-URGENT_RESERVE_FRACTION = 0.5
-# Fraction of the queue that is kept for withdrawals, and free of entries for tables that lack an
-# active entry.
-WITHDRAWAL_RESERVE_FRACTION = 0.25
-# A small channel keeps at most this fraction of its usable queue free of entries that can wait.
-MAX_URGENT_RESERVE_FRACTION = 0.75
 # Multiple of a message's longest transit until the first answers come: there and back.
 ANSWER_TRANSIT_MULTIPLE = 2.0
 # Fraction of `MAX_CONFIRMATION_WAIT_MS` for which joins are gathered, before the proxies that
@@ -1262,14 +1253,33 @@
         Withdrawals, and tables without an active entry, are sent at once and may use a reserve of
         the channel. All other orders wait until enough proxies have confirmed the push before, or
         the wait for them is over.
-
-        All capacities, reserves and rooms are in table entries for each proxy.
         """
         if self.needs_planning:
             self._update_pending_orders()
+        self._drop_old_messages()
+        budget = self._measure_budget()
+        self._settle_unknown_call(budget)
+        budget.room *= self.channel_state.is_free
+        orders: list[Order] = []
+        self._add_withdrawals(orders, budget)
+        is_missing_withdrawals = self._add_missed_withdrawals(orders, budget)
+        is_missing_tables = self._add_bare_tables(orders, budget)
+        # Other orders wait while urgent ones are left: pushes of an entry or two, one after the
+        # other, would take the room that all of those wait for.
+        if self._may_push() and not is_missing_withdrawals and not is_missing_tables:
+            self._add_deferrable_orders(orders, budget)
+        self._add_readmissions(orders, budget)
+        self._add_bindings(orders)
+        if orders:
+            orders.append(self._seal_message(orders, budget))
+        self._complete_moves()
+        return orders + self._due_requests()
 
-        # The channel forgets messages that must have left it, and pushes outside the window. While
-        # the answer to the last call is awaited, its message counts as sent now.
+    def _drop_old_messages(self) -> None:
+        """Forget messages that must have left the channel, and pushes outside the window.
+
+        While the answer to the last call is awaited, its message counts as sent now.
+        """
         oldest_waiting_ms = (
             self.now_ms
             - MAX_CHANNEL_SLOWDOWN_FACTOR
@@ -1282,45 +1292,39 @@
             self.now_ms * self.channel_state.awaits_answer,
         )
 
-        # Room in the channel. While proxies join, more may join before the call is carried out;
-        # they get its orders, too.
+    def _receiver_count(self) -> int:
+        """Return how many proxies a message may reach, which is at least one.
+
+        While proxies join, more may join before the call is carried out; they get its orders, too.
+        """
         expects_joins = (
             self.settings.sliced
             and self.now_ms - self.last_join_ms < MAX_CONFIRMATION_WAIT_MS * JOIN_GATHERING_FRACTION
         )
-        receivers = max(len(self.proxies), self.settings.proxy_count if expects_joins else 1)
+        return max(len(self.proxies), self.settings.proxy_count if expects_joins else 1)
+
+    def _measure_budget(self) -> ChannelBudget:
+        """Return the room of the channel for the orders of this decision."""
+        receiver_count = self._receiver_count()
         overhead = self.settings.message_overhead_entries + 1  # one more for the seal
-        orders = []
-        capacity = self.settings.max_pending_entries / receivers
-        usable_capacity = capacity * USABLE_CHANNEL_FRACTION - overhead
-        room = usable_capacity - self.channel.waiting_entries() / receivers
-
-        # Reserves. Each has room for a further message that withdraws as many backends as may be
-        # suspect at once. A small channel keeps back less.
-        batch_entries = overhead + MAX_SUSPECT_BACKENDS_FRACTION * len(self.backends)
-        urgent_reserve = max(
-            min(capacity * URGENT_RESERVE_FRACTION, usable_capacity / 2),
-            min(batch_entries, usable_capacity * MAX_URGENT_RESERVE_FRACTION),
+        return ChannelBudget(
+            capacity=self.settings.max_pending_entries / receiver_count,
+            overhead=overhead,
+            batch_entries=overhead + MAX_SUSPECT_BACKENDS_FRACTION * len(self.backends),
+            waiting_entries=self.channel.waiting_entries() / receiver_count,
+            has_pushes_left=len(self.channel.push_times_ms)
+            < (self.settings.max_pushes_per_window or INFINITY),
         )
-        withdrawal_reserve = max(
-            min(capacity * WITHDRAWAL_RESERVE_FRACTION, usable_capacity / 4),
-            min(batch_entries, usable_capacity / 2),
-        )
-
-        def min_room(entries: int, reserve: float) -> float:
-            """Return the room beside a reserve from which on a push is worth its overhead."""
-            return min(entries, overhead, (usable_capacity - reserve) / 2)
 
-        has_pushes_left = len(self.channel.push_times_ms) < (
-            self.settings.max_pushes_per_window or INFINITY
-        )
-        room *= has_pushes_left
+    def _settle_unknown_call(self, budget: ChannelBudget) -> None:
+        """Repeat a call of unknown fate if it has not run, or there is room for its entries twice.
 
-        # Repetition of a call of unknown fate. After the usual wait for confirmations the call is
-        # taken as not run. One that broke off is taken as not run earlier: if nobody confirms it in
-        # the time of a message there and back, after all messages before it were confirmed. To
-        # repeat a call that may have run takes room for its entries.
-        if self.channel.missing_confirmations_before(self.channel_state.unknown_seal):
+        After the usual wait for confirmations the call is taken as not run. One that broke off is
+        taken as not run earlier: if nobody confirms it in the time of a message there and back,
+        after all messages before it were confirmed.
+        """
+        seal = self.channel_state.unknown_seal
+        if self.channel.missing_confirmations_before(seal):
             self.unknown_call_blocked_ms = self.now_ms
         since_push_ms = self.now_ms - self.channel.last_push_ms
         since_blocked_ms = min(since_push_ms, self.now_ms - self.unknown_call_blocked_ms)
@@ -1328,148 +1332,157 @@
             self.channel_state.is_broken
             and since_blocked_ms > ANSWER_TRANSIT_MULTIPLE * self.settings.max_transit_ms
         )
-        if self.channel_state.unknown_seal and (
-            has_not_run or room > self.channel.entries_per_receiver(self.channel_state.unknown_seal)
-        ):
-            self.channel.record_repeat(self.channel_state.unknown_seal, self.now_ms, has_not_run)
-            self.other_orders.append(RepeatCall(self.channel_state.unknown_seal))
-        room *= self.channel_state.is_free
+        if seal and (has_not_run or budget.room > self.channel.entries_per_receiver(seal)):
+            self.channel.record_repeat(seal, self.now_ms, has_not_run)
+            self.other_orders.append(RepeatCall(seal))
+
+    def _add_withdrawals(self, orders: list[Order], budget: ChannelBudget) -> None:
+        """Withdraw the backends that have to be.
 
-        # Withdrawals. All backends that leave go in one message, since a second one would have to
-        # wait for room for its overhead as well. Ejected backends may not use the reserve.
+        All backends that leave go in one message, since a second one would have to wait for room
+        for its overhead as well. Ejected backends may not use the reserve.
+        """
         leaving_count = min(
             sum(b.phase is not Phase.READY and not b.is_withdrawn for b in self.backends),
-            usable_capacity / 2,
+            budget.usable_capacity / 2,
         )
         for backend in self.backends:
-            if not backend.is_withdrawn and self._must_withdraw(backend):
-                required_room = (
-                    max(1, leaving_count - len(orders))
-                    if backend.phase is not Phase.READY or self._is_open(backend)
-                    else urgent_reserve + 1
-                )
-                if room > required_room:
-                    orders.append(SetWithdrawn(backend, True))
-                    backend.is_withdrawn = True
-                    self.needs_planning = True
-                    room -= 1
-
-        # Repeated withdrawals, for proxies that joined late and have missed them. They go together,
-        # since each push costs its overhead, and those that most RPCs would reach go first. A
-        # further message that withdraws a batch always has room.
+            if backend.is_withdrawn or not self._must_withdraw(backend):
+                continue
+            required_room = (
+                max(1, leaving_count - len(orders))
+                if backend.phase is not Phase.READY or self._is_open(backend)
+                else budget.urgent_reserve + 1
+            )
+            if budget.room > required_room:
+                orders.append(SetWithdrawn(backend, True))
+                backend.is_withdrawn = True
+                self.needs_planning = True
+                budget.room -= 1
+
+    def _add_missed_withdrawals(self, orders: list[Order], budget: ChannelBudget) -> bool:
+        """Repeat withdrawals for proxies that joined late; return whether some are left to repeat.
+
+        They go together, since each push costs its overhead, and those that most RPCs would reach
+        go first. A further message that withdraws a batch always has room.
+        """
         missed_withdrawals = [
             b
             for b in self.unannounced_withdrawals
             if b.is_withdrawn and any(b in slice_.table for slice_ in self.slices)
         ]
-        batch_reserve = min(batch_entries - overhead, usable_capacity / 2)
-        if self.now_ms >= self.announce_withdrawals_at_ms and room - batch_reserve > min_room(
-            len(missed_withdrawals), batch_reserve
+        room = budget.room - budget.batch_reserve
+        if self.now_ms < self.announce_withdrawals_at_ms or room <= budget.min_room(
+            len(missed_withdrawals), budget.batch_reserve
         ):
-            missed_withdrawals.sort(
-                key=lambda b: (
-                    -max(
-                        share_if_active(slice_.table, b)
-                        for slice_ in self.slices
-                        if b in slice_.table
-                    )
+            return bool(missed_withdrawals)
+        missed_withdrawals.sort(
+            key=lambda b: (
+                -max(
+                    share_if_active(slice_.table, b) for slice_ in self.slices if b in slice_.table
                 )
             )
-            announced = missed_withdrawals[: int(room - batch_reserve)]
-            self.unannounced_withdrawals = dict.fromkeys(
-                missed_withdrawals[int(room - batch_reserve) :]
-            )
-            orders += [SetWithdrawn(b, True) for b in announced]
-            room -= len(announced)
-            missed_withdrawals = missed_withdrawals[len(announced) :]
+        )
+        announced = missed_withdrawals[: int(room)]
+        self.unannounced_withdrawals = dict.fromkeys(missed_withdrawals[int(room) :])
+        orders += [SetWithdrawn(b, True) for b in announced]
+        budget.room -= len(announced)
+        return bool(self.unannounced_withdrawals)
+
+    def _add_bare_tables(self, orders: list[Order], budget: ChannelBudget) -> bool:
+        """Fill tables without an active entry; return whether orders for some of them are left.
 
-        # Tables without an active entry, be it by a withdrawal now or by one before the slice was
-        # granted. Only their main entry is sent; the rest can wait.
+        They are bare by a withdrawal now or by one before the slice was granted. Only their main
+        entry is sent; the rest can wait.
+        """
         if self.needs_planning:
             self._update_pending_orders()
         bare_slices = [
             slice_ for slice_ in self.pending_slices if has_no_active_entry(slice_.table)
         ]
-        if room - withdrawal_reserve > min_room(len(bare_slices), withdrawal_reserve):
+        room = budget.room - budget.withdrawal_reserve
+        if room > budget.min_room(len(bare_slices), budget.withdrawal_reserve):
             for slice_ in bare_slices:
                 slice_.pending_orders = sorted(
                     slice_.pending_orders, key=lambda order: -getattr(order, "weight", 0.0)
                 )[:1]
-            room = (
-                self._send_pending(bare_slices, room - withdrawal_reserve, orders)
-                + withdrawal_reserve
-            )
+            budget.room = self._send_pending(bare_slices, room, orders) + budget.withdrawal_reserve
             self.needs_planning = True
-
-        # All other tables and levels. They wait while urgent orders are left: pushes of an entry or
-        # two, one after the other, would take the room that all of those wait for.
-        if (
-            self._may_push()
-            and not missed_withdrawals
-            and not any(slice_.pending_orders for slice_ in bare_slices)
-        ):
-            reserve = urgent_reserve
-            room -= reserve
-            urgent_reserve = 0.0
-            # Only attempts that never ran are retried, so that no RPC takes effect twice.
-            if self.admission_reset_due and room > 1:
-                self.admission_reset_due = False
-                room -= 1
-                orders.append(
-                    SetAdmissionLevel(
-                        self.methods_by_criticality[0] + self.methods_by_criticality[1],
-                        None,
-                        ADMIT_ALL_LEVEL,
-                        RetryMode.NEVER_RAN,
-                    )
+        return any(slice_.pending_orders for slice_ in bare_slices)
+
+    def _add_deferrable_orders(self, orders: list[Order], budget: ChannelBudget) -> None:
+        """Add the tables and levels that can wait, beside the reserve for urgent orders."""
+        reserve = budget.urgent_reserve
+        budget.room -= reserve
+        budget.urgent_reserve = 0.0
+        # Only attempts that never ran are retried, so that no RPC takes effect twice.
+        if self.admission_reset_due and budget.room > 1:
+            self.admission_reset_due = False
+            budget.room -= 1
+            orders.append(
+                SetAdmissionLevel(
+                    self.methods_by_criticality[0] + self.methods_by_criticality[1],
+                    None,
+                    ADMIT_ALL_LEVEL,
+                    RetryMode.NEVER_RAN,
                 )
-            if orders or room > min_room(
-                sum(len(slice_.pending_orders) for slice_ in self.pending_slices), reserve
-            ):
-                room = self._send_pending(self.pending_slices, room, orders)
+            )
+        pending_count = sum(len(slice_.pending_orders) for slice_ in self.pending_slices)
+        if orders or budget.room > budget.min_room(pending_count, reserve):
+            budget.room = self._send_pending(self.pending_slices, budget.room, orders)
 
-        # Readmissions. A backend is readmitted once no table gives it more than it should get, or,
-        # if it is warm, where it would end the lack of an active entry.
+    def _add_readmissions(self, orders: list[Order], budget: ChannelBudget) -> None:
+        """Readmit backends, beside the reserve for urgent orders."""
         for backend in self.backends:
             if (
-                backend.is_withdrawn
-                and room > urgent_reserve + 1
-                and self._is_open(backend)
-                and (
-                    not self._exceeds_desired(backend)
-                    or self._warm_up_share(backend) >= 1
-                    and any(
-                        backend in slice_.table and has_no_active_entry(slice_.table)
-                        for slice_ in self.slices
-                    )
-                )
+                not backend.is_withdrawn
+                or budget.room <= budget.urgent_reserve + 1
+                or not self._may_readmit(backend)
             ):
-                backend.is_withdrawn = False
-                self.needs_planning = True
-                room -= 1
-                self._clear_statistics(backend)
-                for slice_ in (s for s in self.slices if backend in s.table):
-                    slice_.rpcs_shifted_at_ms = self.now_ms
-                orders.append(SetWithdrawn(backend, False))
+                continue
+            backend.is_withdrawn = False
+            self.needs_planning = True
+            budget.room -= 1
+            self._clear_statistics(backend)
+            for slice_ in (s for s in self.slices if backend in s.table):
+                slice_.rpcs_shifted_at_ms = self.now_ms
+            orders.append(SetWithdrawn(backend, False))
 
-        # Proxies of an unsliced site are bound to its tables.
-        for proxy in (
-            self.proxies if self.channel_state.is_free and not self.settings.sliced else ()
-        ):
-            orders += [
-                BindProxy(slice_, proxy)
+    def _may_readmit(self, backend: Backend) -> bool:
+        """Return whether an open backend may be readmitted.
+
+        It may once no table gives it more than it should get, or, if it is warm, where it would end
+        the lack of an active entry.
+        """
+        if not self._is_open(backend):
+            return False
+        return not self._exceeds_desired(backend) or (
+            self._warm_up_share(backend) >= 1
+            and any(
+                backend in slice_.table and has_no_active_entry(slice_.table)
                 for slice_ in self.slices
-                if slice_.table and not proxy.is_bound
-            ]
+            )
+        )
+
+    def _add_bindings(self, orders: list[Order]) -> None:
+        """Bind the proxies of an unsliced site to its tables."""
+        if self.settings.sliced or not self.channel_state.is_free:
+            return
+        for proxy in self.proxies:
+            if not proxy.is_bound:
+                orders += [BindProxy(slice_, proxy) for slice_ in self.slices if slice_.table]
             proxy.is_bound = all(slice_.table for slice_ in self.slices)
 
-        if orders:
-            self.last_seal = self.last_seal % MAX_SEAL + 1
-            entries = len(orders) + overhead + (0 if self.settings.sliced else len(self.backends))
-            self.channel.record_sent(self.last_seal, entries, self.proxies, self.now_ms)
-            orders.append(Seal(self.last_seal))
+    def _seal_message(self, orders: list[Order], budget: ChannelBudget) -> Seal:
+        """Record the message of these orders in the channel, and return its seal."""
+        self.last_seal = self.last_seal % MAX_SEAL + 1
+        binding_entries = 0 if self.settings.sliced else len(self.backends)
+        entries = len(orders) + budget.overhead + binding_entries
+        self.channel.record_sent(self.last_seal, entries, self.proxies, self.now_ms)
+        return Seal(self.last_seal)
 
-        # The moves are completed once their tables were sent and most proxies confirmed them.
+    def _complete_moves(self) -> None:
+        """End the moves once their tables were sent and most proxies confirmed them."""
         if (
             self.running_moves
             and not any(
@@ -1479,14 +1492,17 @@
         ):
             self.running_moves.clear()
 
+    def _due_requests(self) -> list[Order]:
+        """Return the orders to follow the fleet list, and for the next timer, that are due."""
+        requests: list[Order] = []
         if self.now_ms >= self.follow_list_at_ms:
             self.follow_list_at_ms = INFINITY
-            orders = [*orders, FollowFleetList(True)]
+            requests.append(FollowFleetList(True))
         if self.now_ms >= self.next_wake_ms:
             timer_delay_ms = min(self.settings.report_interval_ms, ROUND_INTERVAL_MS) / 2
             self.next_wake_ms = self.now_ms + timer_delay_ms
-            orders.append(SetTimer(timer_delay_ms, 0))
-        return orders
+            requests.append(SetTimer(timer_delay_ms, 0))
+        return requests
 
     def _must_withdraw(self, backend: Backend) -> bool:
         """Return whether a backend is to be withdrawn from the proxies.
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,6 +21,7 @@
     "capture.segments",
     "capture.formatting",
     "channel",
+    "channel_budget",
     "cluster.disk",
     "cluster.keys",
     "cluster.frame_auth",
