Fix: a failed call is sent again only if it fits the queue of the proxies that have joined

Cause: a call's size is decided by the proxies of that moment, here none. Neither a repeat of a call of unknown fate nor the sending of one that had not run looked at who had joined since, and the repeat was booked for the receivers of the first time.

Evidence: the same on calls that surely did not run.

Change: the decisions hear of calls that have not run (ChannelState.unsent_seal), and drop a failed call that no longer fits (DropCall). Its orders are unsettled (UnsettledOrders) and are given anew by the ordinary jobs, which size every message by the proxies of now. Orders set state, so giving one that had run does no harm.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -10,12 +10,15 @@
 >>> channel.record_confirmation(65_000, "q")  # no such seal: ignored
 >>> channel.waiting_entries(), channel.unconfirmed_receivers()
 (10.0, 1)
->>> channel.record_repeat(1, 5.0, did_not_run=False)
->>> channel.waiting_entries(), channel.entries_per_receiver(1)
-(20.0, 10.0)
->>> channel.record_repeat(1, 6.0, did_not_run=True)
+>>> channel.record_sent(1, 10.0, ["q"], 5.0)
+>>> channel.waiting_entries()
+20.0
+>>> channel.drop_message(1)
 >>> channel.waiting_entries(), len(channel.push_times_ms)
-(10.0, 2)
+(0, 0)
+>>> channel.record_sent(1, 10.0, ["q"], 6.0)
+>>> channel.waiting_entries(), len(channel.push_times_ms)
+(10.0, 1)
 >>> channel.drop_before(8.0, 8.0, held_until_ms=9.0)
 >>> channel.waiting_entries(), len(channel.push_times_ms)
 (10.0, 1)
@@ -71,17 +74,6 @@
         while len(self.unconfirmed_messages) > 1 and not self.unconfirmed_messages[0][2]:
             self.unconfirmed_messages.popleft()
 
-    def entries_per_receiver(self, seal: int) -> float:
-        """Return how many entries the message of a seal carries to each receiver; 0 if unknown."""
-        return next(
-            (
-                entries
-                for message_seal, entries, _, _ in self.unconfirmed_messages
-                if message_seal == seal
-            ),
-            0.0,
-        )
-
     def missing_confirmations_before(self, seal: int) -> int:
         """Return how many confirmations are missing of the messages before that of a seal.
 
@@ -106,22 +98,14 @@
             len(unconfirmed) for _, _, unconfirmed, _ in islice(self.unconfirmed_messages, index)
         )
 
-    def record_repeat(self, seal: int, now_ms: float, did_not_run: bool) -> None:
-        """Record that the message of a seal is sent again to those that have not confirmed it.
-
-        If `did_not_run`, the earlier call had no effect: the new message and push replace the
-        earlier ones. Otherwise both copies wait in the channel. A message of an unknown seal is
-        recorded without entries and receivers.
-        """
-        entries, unconfirmed = next(
-            (message[1:3] for message in self.unconfirmed_messages if message[0] == seal), (0.0, {})
+    def drop_message(self, seal: int) -> None:
+        """Drop the message of a seal, all of its copies, and its pushes: its calls have not run."""
+        for message_seal, _, _, sent_at_ms in self.unconfirmed_messages:
+            if message_seal == seal and sent_at_ms in self.push_times_ms:
+                self.push_times_ms.remove(sent_at_ms)
+        self.unconfirmed_messages = deque(
+            message for message in self.unconfirmed_messages if message[0] != seal
         )
-        if did_not_run and self.push_times_ms:
-            self.push_times_ms.pop()
-            self.unconfirmed_messages = deque(
-                message for message in self.unconfirmed_messages if message[0] != seal
-            )
-        self.record_sent(seal, entries, unconfirmed, now_ms)
 
     def drop_before(
         self, sent_before_ms: float, pushed_before_ms: float, held_until_ms: float = 0.0
--- /dev/null
+++ b/lifthinge/doubtful_calls.py
@@ -0,0 +1,67 @@
+"""Failed calls of which it is not known yet whether they ran, and when they are taken not to have.
+
+Until then their entries count as waiting in the channel. All times are in milliseconds.
+
+>>> channel = Channel()
+>>> channel.record_sent(7, 20.0, ["p"], 0.0)
+>>> calls = DoubtfulCalls()
+>>> calls.add(7, is_broken_off=False, now_ms=200.0)
+>>> [calls.take_ended(channel, now_ms, 300.0) for now_ms in (1000.0, 2200.0, 2300.0)]
+[[], [7], []]
+"""
+
+from dataclasses import dataclass
+
+from lifthinge.channel import Channel
+
+# A call that nobody has confirmed in this time has not run.
+MAX_DOUBT_MS = 2_000.0
+# Multiple of a message's longest transit until the first answers come: there and back.
+ANSWER_TRANSIT_MULTIPLE = 2.0
+
+
+@dataclass(slots=True)
+class DoubtfulCall:
+    """A failed call that may have run or not."""
+
+    is_broken_off: bool  # the relay is there, so that confirmations would be received
+    failed_at_ms: float
+    blocked_at_ms: float  # when messages before it last lacked confirmations
+
+
+class DoubtfulCalls:
+    """Doubtful calls by their seals. The order of the slots is part of the capture format."""
+
+    __slots__ = ("_calls",)
+
+    def __init__(self) -> None:
+        self._calls: dict[int, DoubtfulCall] = {}
+
+    def add(self, seal: int, is_broken_off: bool, now_ms: float) -> None:
+        """Add a call that has failed, unless it is known."""
+        if seal not in self._calls:
+            self._calls[seal] = DoubtfulCall(is_broken_off, now_ms, now_ms)
+
+    def discard(self, seal: int) -> None:
+        """Drop the call of a seal: it ran, or it is sent again."""
+        self._calls.pop(seal, None)
+
+    def take_ended(self, channel: Channel, now_ms: float, max_transit_ms: float) -> list[int]:
+        """Return and drop the seals of the calls that are taken not to have run.
+
+        One that broke off is taken not to have run if nobody confirms it in the time of a message
+        there and back, after all messages before it were confirmed.
+        """
+        ended = []
+        for seal, call in self._calls.items():
+            if channel.missing_confirmations_before(seal):
+                call.blocked_at_ms = now_ms
+            is_overdue = (
+                now_ms - max(call.failed_at_ms, call.blocked_at_ms)
+                > ANSWER_TRANSIT_MULTIPLE * max_transit_ms
+            )
+            if now_ms - call.failed_at_ms >= MAX_DOUBT_MS or call.is_broken_off and is_overdue:
+                ended.append(seal)
+        for seal in ended:
+            del self._calls[seal]
+        return ended
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -291,6 +291,8 @@
     unknown_seal: int = 0  # seal of a call that may have run or not; 0: there is none
     # Whether that call broke off: the relay is there, and answers would be received.
     is_broken: bool = field(default=False, compare=False)
+    # Seal of a call that has not run and will be sent again, unless it is dropped; 0: none.
+    unsent_seal: int = field(default=0, compare=False)
 
     @property
     def awaits_answer(self) -> bool:
@@ -445,6 +447,16 @@
     seal: int
 
 
+@dataclass(frozen=True, slots=True)
+class DropCall:
+    """Drop the call of this seal: it must not be sent again.
+
+    It has not run, or its fate is unknown. Its orders are given anew, in this decision or later.
+    """
+
+    seal: int
+
+
 @dataclass(frozen=True, slots=True)
 class ForgetBackend:
     """Tell the adapter that it need not keep a backend: it is gone and nothing names it."""
@@ -466,5 +478,6 @@
     | FollowFleetList
     | FetchFleetList
     | RepeatCall
+    | DropCall
     | ForgetBackend
 )
--- a/lifthinge/memory/pending_orders.py
+++ b/lifthinge/memory/pending_orders.py
@@ -25,6 +25,17 @@
 True
 >>> pending_orders.has_orders_since(slice_, pending_orders.settled_count)
 False
+
+A call that is dropped may have run: its slices count as having orders until later orders for them
+are settled, or the call turns out to have run.
+
+>>> pending_orders.add([(SetEntry(slice_, backend, 2.0), b"12"), (Seal(8), b"12")])
+>>> pending_orders.drop_call(8)
+>>> len(pending_orders), pending_orders.has_orders_since(slice_, pending_orders.settled_count)
+(0, True)
+>>> pending_orders.settle_dropped_call(8)
+>>> pending_orders.has_orders_since(slice_, pending_orders.settled_count)
+False
 """
 
 from collections.abc import Iterable
@@ -53,6 +64,8 @@
         self.settled_count = 0  # orders ever settled
         # Slice -> the settled count just after its last order was settled.
         self._last_settled: dict[Slice, int] = {}
+        # Slice -> seal of the dropped call that had the last order for it.
+        self._dropped_seals: dict[Slice, int] = {}
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -79,9 +92,28 @@
             self.settled_count += 1
             if isinstance(pending.order, (SetEntry, ClearTable)):
                 self._last_settled[pending.order.slice] = self.settled_count
+                self._dropped_seals.pop(pending.order.slice, None)
+
+    def drop_call(self, seal: int) -> None:
+        """Remove the orders of the call with this seal, and any before it."""
+        seals = [getattr(pending.order, "number", 0) for pending in self._pending]
+        if seal not in seals:
+            return
+        dropped = self._pending[: seals.index(seal) + 1]
+        self.settle(dropped)
+        for pending in dropped:
+            if isinstance(pending.order, (SetEntry, ClearTable)):
+                self._dropped_seals[pending.order.slice] = seal
+
+    def settle_dropped_call(self, seal: int) -> None:
+        """Note that the dropped call with this seal has run."""
+        self._dropped_seals = {
+            slice_: other for slice_, other in self._dropped_seals.items() if other != seal
+        }
 
     def discard_slice(self, slice_: Slice) -> None:
         """Remove the orders for a slice that was taken away or granted again: they are void."""
+        self._dropped_seals.pop(slice_, None)
         self._pending = [
             pending
             for pending in self._pending
@@ -96,7 +128,12 @@
         )
 
     def has_orders_since(self, slice_: Slice, settled_count: int) -> bool:
-        """Return whether a slice has pending orders, or had one settled after the given count."""
-        return self._last_settled.get(slice_, 0) > settled_count or any(
-            getattr(pending.order, "slice", None) is slice_ for pending in self._pending
+        """Return whether a slice has pending orders, or had one settled after the given count.
+
+        An order of a dropped call counts as pending.
+        """
+        return (
+            self._last_settled.get(slice_, 0) > settled_count
+            or slice_ in self._dropped_seals
+            or any(getattr(pending.order, "slice", None) is slice_ for pending in self._pending)
         )
--- a/lifthinge/outer_names.py
+++ b/lifthinge/outer_names.py
@@ -19,8 +19,10 @@
 
 from lifthinge import interface
 from lifthinge.channel import Channel
+from lifthinge.doubtful_calls import DoubtfulCall, DoubtfulCalls
 from lifthinge.histogram import Histogram
 from lifthinge.sliding_minimum import SlidingWindowMinimum
+from lifthinge.unsettled_orders import UnsettledOrders
 
 
 class Kind(NamedTuple):
@@ -78,7 +80,8 @@
     "StoredLine": _kind(interface.StoredEntry, "slice backend weight"),
     "SealConfirmed": _kind(interface.SealConfirmed, "proxy seal took=elapsed_ms"),
     "ChannelState": _kind(
-        interface.ChannelState, "free=is_free unknown=unknown_seal broken=is_broken"
+        interface.ChannelState,
+        "free=is_free unknown=unknown_seal broken=is_broken unsent=unsent_seal",
     ),
     "OutStands": _kind(interface.WithdrawalState, "backend out=is_withdrawn"),
     # Orders
@@ -95,6 +98,7 @@
     "FollowList": _kind(interface.FollowFleetList, "on=enabled"),
     "FetchList": _kind(interface.FetchFleetList, ""),
     "RepeatCall": _kind(interface.RepeatCall, "seal"),
+    "DropCall": _kind(interface.DropCall, "seal"),
     "Forget": _kind(interface.ForgetBackend, "backend"),
     # Values within events and orders, and the settings
     "Listing": _kind(interface.Listing, "backend zone cell phase started=started_at_ms size"),
@@ -121,6 +125,9 @@
     "Histogram": (Histogram, Histogram.__slots__),
     "Lowest": (SlidingWindowMinimum, SlidingWindowMinimum.__slots__),
     "Channel": (Channel, Channel.__slots__),
+    "Unsettled": (UnsettledOrders, UnsettledOrders.__slots__),
+    "DoubtfulCall": (DoubtfulCall, DoubtfulCall.__slots__),
+    "DoubtfulCalls": (DoubtfulCalls, DoubtfulCalls.__slots__),
 }
 # The decision state in a keyframe: outer name to attribute, in the order in which they are written.
 STATE: dict[str, str] = _pairs(
@@ -129,11 +136,12 @@
     " levels_due=admission_reset_due now=now_ms fold_at=next_evaluation_ms round_at=next_round_ms"
     " wake_at=next_wake_ms cool_until=cool_off_until_ms plan_worst=worst_violation"
     " follow_at=follow_list_at_ms untold=unannounced_withdrawals"
-    " untold_at=announce_withdrawals_at_ms joined_at=last_join_ms clear_at=unknown_call_blocked_ms"
+    " untold_at=announce_withdrawals_at_ms joined_at=last_join_ms"
     " horizon=mean_report_span_ms spans=report_span_sums usual=mean_report_attempts"
     " good=ok_fraction fair=warm_ok_rate_per_size stress=zone_stress let=zone_admission"
     " plan=running_moves seal=last_seal channel way=channel_state said=other_orders"
-    " owed=pending_slices"
+    " owed=pending_slices call=last_call_orders unsettled=unsettled_orders"
+    " doubtful=doubtful_calls"
 )
 _OUTER_NAMES: dict[type, str] = {
     **{kind.type: name for name, kind in KINDS.items()},
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -15,11 +15,13 @@
 
 from lifthinge.channel import Channel
 from lifthinge.channel_budget import URGENT_RESERVE_FRACTION, ChannelBudget
+from lifthinge.doubtful_calls import DoubtfulCalls
 from lifthinge.interface import (
     AttemptReport,
     Backend,
     BindProxy,
     ChannelState,
+    DropCall,
     Event,
     FleetNews,
     FleetNewsKind,
@@ -48,6 +50,7 @@
     WithdrawalState,
 )
 from lifthinge.table_shares import active_shares, has_no_active_entry, share_if_active
+from lifthinge.unsettled_orders import UnsettledOrders
 
 # Placement mechanism, as the design page specifies it
 
@@ -157,8 +160,6 @@
 
 # Channel to the proxies
 
-# Multiple of a message's longest transit until the first answers come: there and back.
-ANSWER_TRANSIT_MULTIPLE = 2.0
 # Fraction of `MAX_CONFIRMATION_WAIT_MS` for which joins are gathered, before the proxies that
 # joined late are told of the withdrawals that they missed.
 JOIN_GATHERING_FRACTION = 0.25
@@ -229,7 +230,7 @@
             WithdrawalState: self._on_withdrawal_state,
             ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
             ChannelState: lambda event: setattr(self, "channel_state", event),
-            SealConfirmed: lambda event: self.channel.record_confirmation(event.seal, event.proxy),
+            SealConfirmed: self._on_seal_confirmed,
         }
         # Whether the state has changed since the desired tables were last computed.
         self.needs_planning = True
@@ -247,8 +248,6 @@
         self.unannounced_withdrawals = {}
         self.announce_withdrawals_at_ms = 0.0
         self.last_join_ms = 0.0
-        # When messages before the call of unknown fate last lacked confirmations.
-        self.unknown_call_blocked_ms = 0.0
         # Moving mean of the time that a report covers, weighted by attempts.
         self.mean_report_span_ms = settings.report_interval_ms
         # Sums over the reports of this interval: span in ms times attempts, and attempts.
@@ -268,6 +267,10 @@
         self.last_seal = 0
         self.channel = Channel()
         self.channel_state = ChannelState(True)
+        # Orders of the last call, without its seal.
+        self.last_call_orders: list[Order] = []
+        self.unsettled_orders = UnsettledOrders()
+        self.doubtful_calls = DoubtfulCalls()
         # Orders of this batch besides those of `_emit_orders`.
         self.other_orders = []
         # Slices with pending orders, the most important first.
@@ -478,6 +481,12 @@
         slice_.pending_orders = []
         slice_.method_rates = {}
         slice_.admission_levels = (1.0, 1.0)
+        self.unsettled_orders.discard_slice(slice_)
+        self.last_call_orders = [
+            order
+            for order in self.last_call_orders
+            if not isinstance(order, (SetEntry, SetAdmissionLevel)) or order.slice is not slice_
+        ]
         if event.is_granted:
             self.slices[slice_] = None
             self.admission_reset_due = True
@@ -501,8 +510,16 @@
         """Take over whether a backend is withdrawn, contrary to what was ordered."""
         self.backends[event.backend] = None
         event.backend.is_withdrawn = event.is_withdrawn
+        self.unsettled_orders.discard_backend(event.backend)
         self.needs_planning = True
 
+    def _on_seal_confirmed(self, event: SealConfirmed) -> None:
+        """Record a proxy's confirmation; it shows that the call of the seal ran."""
+        self.channel.record_confirmation(event.seal, event.proxy)
+        self.doubtful_calls.discard(event.seal)
+        if not self.unsettled_orders.is_empty():
+            self.unsettled_orders.discard_call(event.seal)
+
     # Evaluation of the state
 
     def _warm_up_share(self, backend: Backend) -> float:
@@ -623,6 +640,7 @@
         )
         if gone:
             gone.difference_update(*([*s.table, *s.desired_shares, s.owner] for s in self.slices))
+            gone = {b for b in gone if not self.unsettled_orders.has_withdrawal(b)}
             self.other_orders += [
                 ForgetBackend(b) for b in self.backends if b in gone and b.is_withdrawn
             ]
@@ -1221,19 +1239,40 @@
         """
         self._plan_tables()
         for slice_ in self.slices:
-            slice_.pending_orders = (
-                self._pending_entries(slice_) if slice_.desired_shares else []
-            ) + self._pending_levels(slice_)
+            pending_entries = self._pending_entries(slice_) if slice_.desired_shares else []
+            slice_.pending_orders = [
+                *pending_entries,
+                *self._unsettled_entries(slice_, pending_entries),
+                *self._pending_levels(slice_),
+            ]
             present_shares = active_shares(slice_.table)
-            slice_.shifts_rpcs = self._admission_levels(slice_) != slice_.admission_levels or any(
-                abs(present_shares.get(b, 0.0) - share) > SHARE_TOLERANCE_FRACTION
-                for b, share in slice_.desired_shares.items()
+            slice_.shifts_rpcs = (
+                bool(self.unsettled_orders.entries(slice_))
+                or self._admission_levels(slice_) != slice_.admission_levels
+                or any(
+                    abs(present_shares.get(b, 0.0) - share) > SHARE_TOLERANCE_FRACTION
+                    for b, share in slice_.desired_shares.items()
+                )
             )
         self.pending_slices = sorted(
             (slice_ for slice_ in self.slices if slice_.pending_orders),
             key=lambda s: (not s.shifts_rpcs, -(s.heat or 0.0)),
         )
 
+    def _unsettled_entries(self, slice_: Slice, entries: list[SetEntry]) -> list[SetEntry]:
+        """Return the entries of a table that failed calls have set, and that are not being set."""
+        being_set = {entry.backend for entry in entries}
+        return [
+            SetEntry(slice_, backend, slice_.table.get(backend, 0.0))
+            for backend in self.unsettled_orders.entries(slice_)
+            if backend not in being_set
+        ]
+
+    def _is_bare(self, slice_: Slice) -> bool:
+        """Return whether a slice's table has no active entry that is surely in force."""
+        unsettled = self.unsettled_orders.entries(slice_)
+        return all(b.is_withdrawn or b in unsettled for b in slice_.table)
+
     def _may_push(self) -> bool:
         """Return whether orders that can wait may go out now.
 
@@ -1257,8 +1296,8 @@
         if self.needs_planning:
             self._update_pending_orders()
         self._drop_old_messages()
+        self._recover_failed_call()
         budget = self._measure_budget()
-        self._settle_unknown_call(budget)
         budget.room *= self.channel_state.is_free
         orders: list[Order] = []
         self._add_withdrawals(orders, budget)
@@ -1271,7 +1310,7 @@
         self._add_readmissions(orders, budget)
         self._add_bindings(orders)
         if orders:
-            orders.append(self._seal_message(orders, budget))
+            orders.append(self._seal_message(orders))
         self._complete_moves()
         return orders + self._due_requests()
 
@@ -1306,7 +1345,7 @@
     def _measure_budget(self) -> ChannelBudget:
         """Return the room of the channel for the orders of this decision."""
         receiver_count = self._receiver_count()
-        overhead = self.settings.message_overhead_entries + 1  # one more for the seal
+        overhead = self._message_overhead()
         return ChannelBudget(
             capacity=self.settings.max_pending_entries / receiver_count,
             overhead=overhead,
@@ -1316,38 +1355,69 @@
             < (self.settings.max_pushes_per_window or INFINITY),
         )
 
-    def _settle_unknown_call(self, budget: ChannelBudget) -> None:
-        """Repeat a call of unknown fate if it has not run, or there is room for its entries twice.
+    def _recover_failed_call(self) -> None:
+        """Have a failed call sent again, or give its orders anew, if the channel has room for it.
 
-        After the usual wait for confirmations the call is taken as not run. One that broke off is
-        taken as not run earlier: if nobody confirms it in the time of a message there and back,
-        after all messages before it were confirmed.
+        A call of unknown fate is repeated if there is room for its entries twice, or if it has not
+        run. It is sent again as it is only if it fits the queue of the proxies that have joined by
+        now.
         """
-        seal = self.channel_state.unknown_seal
-        if self.channel.missing_confirmations_before(seal):
-            self.unknown_call_blocked_ms = self.now_ms
-        since_push_ms = self.now_ms - self.channel.last_push_ms
-        since_blocked_ms = min(since_push_ms, self.now_ms - self.unknown_call_blocked_ms)
-        has_not_run = since_push_ms >= MAX_CONFIRMATION_WAIT_MS or (
-            self.channel_state.is_broken
-            and since_blocked_ms > ANSWER_TRANSIT_MULTIPLE * self.settings.max_transit_ms
+        seal = self.channel_state.unknown_seal or self.channel_state.unsent_seal
+        if self.channel_state.unknown_seal:
+            self.doubtful_calls.add(seal, self.channel_state.is_broken, self.now_ms)
+        ended = self.doubtful_calls.take_ended(
+            self.channel, self.now_ms, self.settings.max_transit_ms
         )
-        if seal and (has_not_run or budget.room > self.channel.entries_per_receiver(seal)):
-            self.channel.record_repeat(seal, self.now_ms, has_not_run)
+        has_not_run = seal in ended or bool(self.channel_state.unsent_seal)
+        for other_seal in ended:
+            if other_seal != seal:
+                self.channel.drop_message(other_seal)
+        if not seal:
+            return
+        entries = self._message_entries(self.last_call_orders)
+        if has_not_run:
+            self.channel.drop_message(seal)
+        budget = self._measure_budget()
+        if has_not_run and budget.room + budget.overhead < entries:
+            self._take_over_call(seal)
+            return
+        if not has_not_run and budget.room <= entries:
+            return
+        self.channel.record_sent(seal, entries, self.proxies, self.now_ms)
+        if self.channel_state.unknown_seal:
+            self.doubtful_calls.discard(seal)
             self.other_orders.append(RepeatCall(seal))
 
+    def _take_over_call(self, seal: int) -> None:
+        """Drop a failed call: its orders are unsettled, and are given again as there is room."""
+        self.other_orders.append(DropCall(seal))
+        self.channel_state = ChannelState(True)
+        self.unsettled_orders.add(self.last_call_orders, seal)
+        for order in self.last_call_orders:
+            if isinstance(order, BindProxy):
+                order.proxy.is_bound = False
+            elif isinstance(order, SetAdmissionLevel) and order.slice is None:
+                self.admission_reset_due = True
+        self.last_call_orders = []
+        self.needs_planning = True
+
     def _add_withdrawals(self, orders: list[Order], budget: ChannelBudget) -> None:
-        """Withdraw the backends that have to be.
+        """Withdraw the backends that have to be; repeat withdrawals and readmissions that failed.
 
         All backends that leave go in one message, since a second one would have to wait for room
         for its overhead as well. Ejected backends may not use the reserve.
         """
         leaving_count = min(
-            sum(b.phase is not Phase.READY and not b.is_withdrawn for b in self.backends),
+            sum(
+                b.phase is not Phase.READY
+                and (not b.is_withdrawn or self.unsettled_orders.has_withdrawal(b))
+                for b in self.backends
+            ),
             budget.usable_capacity / 2,
         )
         for backend in self.backends:
-            if backend.is_withdrawn or not self._must_withdraw(backend):
+            must_withdraw = not backend.is_withdrawn and self._must_withdraw(backend)
+            if not must_withdraw and not self.unsettled_orders.has_withdrawal(backend):
                 continue
             required_room = (
                 max(1, leaving_count - len(orders))
@@ -1355,8 +1425,8 @@
                 else budget.urgent_reserve + 1
             )
             if budget.room > required_room:
-                orders.append(SetWithdrawn(backend, True))
-                backend.is_withdrawn = True
+                backend.is_withdrawn = backend.is_withdrawn or must_withdraw
+                orders.append(SetWithdrawn(backend, backend.is_withdrawn))
                 self.needs_planning = True
                 budget.room -= 1
 
@@ -1397,15 +1467,11 @@
         """
         if self.needs_planning:
             self._update_pending_orders()
-        bare_slices = [
-            slice_ for slice_ in self.pending_slices if has_no_active_entry(slice_.table)
-        ]
+        bare_slices = [slice_ for slice_ in self.pending_slices if self._is_bare(slice_)]
         room = budget.room - budget.withdrawal_reserve
         if room > budget.min_room(len(bare_slices), budget.withdrawal_reserve):
             for slice_ in bare_slices:
-                slice_.pending_orders = sorted(
-                    slice_.pending_orders, key=lambda order: -getattr(order, "weight", 0.0)
-                )[:1]
+                slice_.pending_orders = sorted(slice_.pending_orders, key=_main_entry_first)[:1]
             budget.room = self._send_pending(bare_slices, room, orders) + budget.withdrawal_reserve
             self.needs_planning = True
         return any(slice_.pending_orders for slice_ in bare_slices)
@@ -1473,12 +1539,22 @@
                 orders += [BindProxy(slice_, proxy) for slice_ in self.slices if slice_.table]
             proxy.is_bound = all(slice_.table for slice_ in self.slices)
 
-    def _seal_message(self, orders: list[Order], budget: ChannelBudget) -> Seal:
+    def _message_overhead(self) -> float:
+        """Return the fixed cost of a message, its seal included."""
+        return self.settings.message_overhead_entries + 1
+
+    def _message_entries(self, orders: list[Order]) -> float:
+        """Return how many entries a message of these orders costs for each receiver."""
+        binding_entries = 0 if self.settings.sliced else len(self.backends)
+        return len(orders) + self._message_overhead() + binding_entries
+
+    def _seal_message(self, orders: list[Order]) -> Seal:
         """Record the message of these orders in the channel, and return its seal."""
         self.last_seal = self.last_seal % MAX_SEAL + 1
-        binding_entries = 0 if self.settings.sliced else len(self.backends)
-        entries = len(orders) + budget.overhead + binding_entries
+        entries = self._message_entries(orders)
         self.channel.record_sent(self.last_seal, entries, self.proxies, self.now_ms)
+        self.unsettled_orders.discard(orders)
+        self.last_call_orders = list(orders)
         return Seal(self.last_seal)
 
     def _complete_moves(self) -> None:
@@ -1597,5 +1673,11 @@
                 slice_.admission_levels,
                 strict=False,
             )
-            if methods and level != present_level
+            if methods and (level != present_level or self.unsettled_orders.has_levels(slice_))
         ]
+
+
+def _main_entry_first(order: Order) -> tuple[bool, float]:
+    """Return a sort key of a table's orders: its heaviest active entry comes first."""
+    is_active = isinstance(order, SetEntry) and not order.backend.is_withdrawn
+    return (not is_active, -order.weight if isinstance(order, SetEntry) else 0.0)
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -8,6 +8,7 @@
 
 from lifthinge.interface import (
     ChannelState,
+    DropCall,
     Event,
     FetchFleetList,
     FleetNews,
@@ -150,6 +151,7 @@
             Probe: lambda order: self.prober.probe(order.backend),
             SendToPeers: lambda order: self.peers.send(order.peer, order.content),
             RepeatCall: lambda order: self.relay.allow_repeat(order.seal),
+            DropCall: lambda order: self.relay.drop_call(order.seal),
             LogDecision: lambda order: log.info("decided", {"what": order.text}),
             FollowFleetList: lambda order: self._set_list_watch(order.enabled),
             ForgetBackend: lambda order: self.registry.forget(order.backend),
@@ -308,7 +310,10 @@
         self._is_turn_scheduled = False
         began_at_ms = self.runtime.now
         channel_state = ChannelState(
-            not self.pending_orders, self.relay.unknown_seal, self.relay.is_broken_off
+            not self.pending_orders,
+            self.relay.unknown_seal,
+            self.relay.is_broken_off,
+            self.relay.unsent_seal,
         )
         try:
             orders = self.policy.decide(began_at_ms, [channel_state, *events])
@@ -326,14 +331,15 @@
         self.runtime.counters.record_max(
             "decision.longest_ms", round(self.runtime.now - began_at_ms, 1)
         )
+        # A call is dropped before its orders are submitted anew.
+        for order in orders:
+            if not self.translator.is_relay_order(order):
+                self._order_handlers[type(order)](order)
         relay_orders = [order for order in orders if self.translator.is_relay_order(order)]
         if relay_orders:
             for order in relay_orders:
                 self.runtime.counters.add(f"orders.{outer_name(type(order))}")
             self.relay.submit(relay_orders)
-        for order in orders:
-            if not self.translator.is_relay_order(order):
-                self._order_handlers[type(order)](order)
         has_fleet_list = (
             self.discovery.has_answered
             or self._is_discovery_overdue
--- /dev/null
+++ b/lifthinge/unsettled_orders.py
@@ -0,0 +1,97 @@
+"""Orders of failed calls, which may be in force or not until they are sent again.
+
+A call that brought no answer has run as a whole or not at all. Its orders set state, so to send
+them twice does no harm. They are unsettled until a later message sets the same table entry,
+withdrawal or level, or a proxy confirms the seal of their call, which shows that it ran.
+
+>>> from lifthinge.interface import Backend, SetEntry, SetWithdrawn, Slice
+>>> slice_, a, b = Slice(4), Backend("a", "a"), Backend("b", "b")
+>>> unsettled = UnsettledOrders()
+>>> unsettled.add([SetEntry(slice_, a, 1.0), SetEntry(slice_, b, 0.1), SetWithdrawn(a, True)], 7)
+>>> [backend.name for backend in unsettled.entries(slice_)], unsettled.has_withdrawal(a)
+(['a', 'b'], True)
+>>> unsettled.discard([SetEntry(slice_, a, 2.0)])
+>>> [backend.name for backend in unsettled.entries(slice_)]
+['b']
+>>> unsettled.discard_call(7)
+>>> list(unsettled.entries(slice_)), unsettled.has_withdrawal(a)
+([], False)
+"""
+
+from collections.abc import Collection, Iterable
+
+from lifthinge.interface import Backend, Order, SetAdmissionLevel, SetEntry, SetWithdrawn, Slice
+
+
+class UnsettledOrders:
+    """What failed calls have set: table entries, withdrawals and levels, with the calls' seals.
+
+    Orders of other types are ignored. The order of the slots is part of the capture format.
+    """
+
+    __slots__ = ("_entries", "_withdrawals", "_levels")
+
+    def __init__(self) -> None:
+        self._entries: dict[Slice, dict[Backend, int]] = {}
+        self._withdrawals: dict[Backend, int] = {}
+        self._levels: dict[Slice, int] = {}
+
+    def add(self, orders: Iterable[Order], seal: int) -> None:
+        """Add the orders of the failed call with this seal."""
+        for order in orders:
+            if isinstance(order, SetEntry):
+                self._entries.setdefault(order.slice, {})[order.backend] = seal
+            elif isinstance(order, SetWithdrawn):
+                self._withdrawals[order.backend] = seal
+            elif isinstance(order, SetAdmissionLevel) and order.slice is not None:
+                self._levels[order.slice] = seal
+
+    def discard(self, orders: Iterable[Order]) -> None:
+        """Drop what these orders, which are being sent, set anew."""
+        for order in orders:
+            if isinstance(order, SetEntry):
+                backends = self._entries.get(order.slice, {})
+                backends.pop(order.backend, None)
+                if not backends:
+                    self._entries.pop(order.slice, None)
+            elif isinstance(order, SetWithdrawn):
+                self._withdrawals.pop(order.backend, None)
+            elif isinstance(order, SetAdmissionLevel) and order.slice is not None:
+                self._levels.pop(order.slice, None)
+
+    def discard_call(self, seal: int) -> None:
+        """Drop what the call with this seal has set: it ran."""
+        for slice_, backends in list(self._entries.items()):
+            kept = {backend: other for backend, other in backends.items() if other != seal}
+            if kept:
+                self._entries[slice_] = kept
+            else:
+                del self._entries[slice_]
+        for seals in (self._withdrawals, self._levels):
+            for subject in [subject for subject, other in seals.items() if other == seal]:
+                del seals[subject]
+
+    def discard_slice(self, slice_: Slice) -> None:
+        """Drop the entries and the levels of a slice that was granted anew or taken away."""
+        self._entries.pop(slice_, None)
+        self._levels.pop(slice_, None)
+
+    def discard_backend(self, backend: Backend) -> None:
+        """Drop the withdrawal or readmission of a backend."""
+        self._withdrawals.pop(backend, None)
+
+    def entries(self, slice_: Slice) -> Collection[Backend]:
+        """Return the backends whose entry in a slice's table is unsettled."""
+        return self._entries.get(slice_, {}).keys()
+
+    def has_levels(self, slice_: Slice) -> bool:
+        """Return whether levels of a slice are unsettled."""
+        return slice_ in self._levels
+
+    def has_withdrawal(self, backend: Backend) -> bool:
+        """Return whether a withdrawal or readmission of a backend is unsettled."""
+        return backend in self._withdrawals
+
+    def is_empty(self) -> bool:
+        """Return whether nothing is unsettled."""
+        return not (self._entries or self._withdrawals or self._levels)
--- a/lifthinge/wire/relay_client.py
+++ b/lifthinge/wire/relay_client.py
@@ -1,8 +1,9 @@
 """Sends orders to the relay: one call at a time, in order, until each order's fate is known.
 
-A call that was not sent in full is sent again. A call that was sent in full and not answered has
-run as a whole or not at all: it is sent again once the decisions allow the repeat, unless a proxy
-confirms the call's seal, which shows that it ran.
+A call that was not sent in full, or was throttled, is sent again. A call that was sent in full and
+not answered has run as a whole or not at all: it is sent again once the decisions allow the repeat,
+unless a proxy confirms the call's seal, which shows that it ran. The decisions may drop either call
+and give its orders anew.
 """
 
 import asyncio
@@ -55,6 +56,8 @@
         self.unknown_seal = 0
         # Whether that call's connection broke; else its answer was late, an error or unreadable.
         self.is_broken_off = False
+        # Seal of a call that has not run, while it waits to be sent again; 0: there is none.
+        self.unsent_seal = 0
         self._client = HttpClient(runtime, "relay_call", address)
         self._orders_submitted = asyncio.Event()
         self._unknown_call_resolved = asyncio.Event()
@@ -87,8 +90,18 @@
             self.runtime.counters.add("relay_call.repeated")
             self._resolve_unknown_call()
 
+    def drop_call(self, seal: int) -> None:
+        """Drop the call with this seal, which is of unknown fate or waits to be sent again."""
+        if seal not in (self.unknown_seal, self.unsent_seal):
+            return
+        self.runtime.counters.add("relay_call.dropped")
+        self.pending_orders.drop_call(seal)
+        self.unsent_seal = 0
+        self._resolve_unknown_call()
+
     def on_seal_confirmed(self, seal: int) -> None:
         """Settle the call of unknown fate if a proxy confirmed its seal: it has run."""
+        self.pending_orders.settle_dropped_call(seal)
         if self.unknown_seal == seal:
             self.runtime.counters.add("relay_call.shown_to_have_run")
             self.pending_orders.settle(self._next_call())
@@ -148,7 +161,7 @@
                 )
                 self.on_order_refused(call[accepted].order)
         elif isinstance(answer, dict) and answer.get(protocol.ERROR) == protocol.THROTTLED:
-            await self.runtime.pause(THROTTLE_DELAY_MS)
+            await self._offer_unsent_call(THROTTLE_DELAY_MS)
         else:
             await self._handle_error_answer(call, result, answer)
 
@@ -177,21 +190,35 @@
         """Wait until the failed call may be repeated.
 
         Every failure in a row but the first is followed by a random delay. A call that may have
-        run and holds a seal then waits for `allow_repeat` or `on_seal_confirmed`.
+        run and holds a seal then waits for `allow_repeat`, `drop_call` or `on_seal_confirmed`.
         """
         self._consecutive_failures += 1
+        delay_ms = 0.0
         if self._consecutive_failures > 1:
-            await self.runtime.pause(
-                MIN_RETRY_DELAY_MS
-                + self.runtime.rng.random() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS)
+            delay_ms = MIN_RETRY_DELAY_MS + self.runtime.rng.random() * (
+                MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS
             )
-        if may_have_run and (seal := self.pending_orders.next_seal()):
+        if not may_have_run:
+            await self._offer_unsent_call(delay_ms)
+            return
+        if delay_ms:
+            await self.runtime.pause(delay_ms)
+        if seal := self.pending_orders.next_seal():
             self.unknown_seal = seal
             self.is_broken_off = is_broken_off
             self._unknown_call_resolved.clear()
             self.on_state_changed()
             await self._unknown_call_resolved.wait()
 
+    async def _offer_unsent_call(self, delay_ms: float) -> None:
+        """Wait until a call that has not run may be sent again; the decisions may drop it."""
+        self.unsent_seal = self.pending_orders.next_seal() or 0
+        self.on_state_changed()
+        await asyncio.sleep(0)  # the turn that was just asked for comes first
+        if delay_ms:
+            await self.runtime.pause(delay_ms)
+        self.unsent_seal = 0
+
     def _resolve_unknown_call(self) -> None:
         """Note that no call's fate is unknown, and let `run` go on."""
         self.unknown_seal = 0
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -290,7 +290,7 @@
     "Leased": "slice given",
     "StoredLine": "slice backend weight",
     "SealConfirmed": "proxy seal took",
-    "ChannelState": "free unknown broken",
+    "ChannelState": "free unknown broken unsent",
     "OutStands": "backend out",
     "SetLine": "slice backend weight",
     "ClearTable": "slice",
@@ -305,6 +305,7 @@
     "FollowList": "on",
     "FetchList": "",
     "RepeatCall": "seal",
+    "DropCall": "seal",
     "Forget": "backend",
     "Listing": "backend zone cell phase started size",
     "Method": "soft_deadline deadline criticality",
@@ -319,12 +320,19 @@
     "Outcome": "ok aborted pushed_back late unreachable broken",
     "Retry": "0 1 2 3",
 }
-OUTER_HOLDERS = {"Histogram": 2, "Lowest": 1, "Channel": 3}  # number of slots
+OUTER_HOLDERS = {  # number of slots
+    "Histogram": 2,
+    "Lowest": 1,
+    "Channel": 3,
+    "Unsettled": 3,
+    "DoubtfulCall": 3,
+    "DoubtfulCalls": 1,
+}
 OUTER_OBJECTS = {"b": 31, "s": 13, "p": 4}  # number of fields
 OUTER_STATE = (
     "dice soft ranks by_hand shares backends slices proxies dirty levels_due now fold_at round_at"
-    " wake_at cool_until plan_worst follow_at untold untold_at joined_at clear_at horizon spans"
-    " usual good fair stress let plan seal channel way said owed"
+    " wake_at cool_until plan_worst follow_at untold untold_at joined_at horizon spans"
+    " usual good fair stress let plan seal channel way said owed call unsettled doubtful"
 )
 
 
@@ -345,7 +353,7 @@
     played.run((HERE / "scenarios" / "violator.txt").read_text())
     frame = next(record for record in reversed(played.records[0]) if record[0] == "k")
     _, terms, _, (form, own, objects) = frame
-    assert form == 2 and terms[:2] == ["o", "SiteTerms"] and " ".join(own) == OUTER_STATE
+    assert form == 3 and terms[:2] == ["o", "SiteTerms"] and " ".join(own) == OUTER_STATE
     assert own["channel"][:2] == ["h", "Channel"] and own["way"][:2] == ["o", "ChannelState"]
     assert {one[0]: len(one) - 2 for one in objects} == OUTER_OBJECTS
     backend = next(one for one in objects if one[0] == "b")
--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -15,7 +15,10 @@
     heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
     once a TOTAL ABORTED TOOK                            one report beside them
     confirm yes|no|paced    whether seals are confirmed (after 100 ms), or as the channel gets round to each proxy
-    channel free|held|unknown|broken    what is heard of it from now on; unknown: the last call's fate; broken: it broke off
+    channel free|held|unknown|broken|unsent    what is heard of it from now on; unknown: the last call's fate; broken: it broke
+                            off; unsent: it has not run, and is sent again. The relay answers again once the decisions have
+                            had a call repeated or dropped it
+    lost                    the last call has not run: its lines wait nowhere
     undone a                the call that withdrew it was given up
     kill                    the instance dies; the next one knows nothing
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
@@ -23,7 +26,7 @@
 and, as assertions: `owner S a`, `part S a P` (of a slice's
 RPCs, were it let in), `bare S`, `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
 `unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
-wait, at most), `followed N`, `bound N`, `repeated N` (calls), `forgot a`, `untold P N` (backends out
+wait, at most), `followed N`, `bound N`, `repeated N` and `dropped N` (calls), `forgot a`, `untold P N` (backends out
 of whose withdrawal proxy P was never told, though a table names them). In all scenarios a slice keeps an open line while one is ready.
 """
 
@@ -35,6 +38,7 @@
     BindProxy,
     ChannelState,
     ClearTable,
+    DropCall,
     FleetNews,
     FleetNewsKind,
     FollowFleetList,
@@ -99,7 +103,8 @@
         self.said, self.sent, self.followed, self.bound, self.waiting = [], 0, 0, set(), {}
         self.forgotten: set[Backend] = set()
         self.next_report, self.due = self.now + self.terms.report_interval_ms, []
-        self.state, self.repeats, self.sealed, self.free_at, self.last = None, 0, 0, self.now, 0.0
+        self.state, self.repeats, self.drops, self.sealed = None, 0, 0, 0
+        self.free_at, self.last = self.now, 0.0
         self.told: dict[Proxy, set[Backend]] = {}  # withdrawn backends, as far as a proxy was told
 
     def name(self, kind: type, name: str) -> object:
@@ -122,23 +127,7 @@
         for number in marks:
             self.sealed = number
             self.last = lines + self.terms.message_overhead_entries
-            self.waiting[number] = self.last * len(self.joined)
-            if self.confirming == "paced":  # one proxy's message after the other
-                self.free_at = max(self.free_at, self.now)
-                for place, proxy in enumerate(self.joined, 1):
-                    self.free_at += (
-                        lines + self.terms.message_overhead_entries
-                    ) / self.terms.channel_entries_per_ms
-                    self.due.append(
-                        (
-                            self.free_at + 100.0,
-                            [SealConfirmed(proxy, number, 100.0)],
-                            number if place == len(self.joined) else 0,
-                        )
-                    )
-            elif self.confirming == "yes":
-                answers = [SealConfirmed(p, number, 100.0) for p in self.joined]
-                self.due.append((self.now + 100.0, answers, number))
+            self.run_call()
         ready = any(
             kind is Backend and one.phase is Phase.READY for (kind, _), one in self.names.items()
         )
@@ -147,6 +136,25 @@
                 f"slice {slice_.number} is left bare"
             )
 
+    def run_call(self) -> None:
+        """The relay carries out the last call: its lines wait for all who have joined."""
+        number = self.sealed
+        self.waiting[number] = self.waiting.get(number, 0.0) + self.last * len(self.joined)
+        if self.confirming == "paced":  # one proxy's message after the other
+            self.free_at = max(self.free_at, self.now)
+            for place, proxy in enumerate(self.joined, 1):
+                self.free_at += self.last / self.terms.channel_entries_per_ms
+                self.due.append(
+                    (
+                        self.free_at + 100.0,
+                        [SealConfirmed(proxy, number, 100.0)],
+                        number if place == len(self.joined) else 0,
+                    )
+                )
+        elif self.confirming == "yes":
+            answers = [SealConfirmed(p, number, 100.0) for p in self.joined]
+            self.due.append((self.now + 100.0, answers, number))
+
     def take(self, order: object) -> None:
         if isinstance(order, SetEntry):
             self.names.setdefault((Slice, str(order.slice.number)), order.slice)
@@ -172,6 +180,11 @@
             self.forgotten.add(order.backend)
         self.followed += isinstance(order, FollowFleetList)
         self.repeats += isinstance(order, RepeatCall)
+        self.drops += isinstance(order, DropCall)
+        if isinstance(order, RepeatCall):
+            self.run_call()
+        if isinstance(order, (RepeatCall, DropCall)):
+            self.state = ChannelState(True)
         self.bound |= {order.proxy} if isinstance(order, BindProxy) else set()
         self.sent += isinstance(order, (SetEntry, SetWithdrawn, SetAdmissionLevel))
 
@@ -326,10 +339,19 @@
 
     def do_channel(self, state: str) -> None:
         self.state = ChannelState(
-            state == "free", self.sealed if state in ("unknown", "broken") else 0, state == "broken"
+            state == "free",
+            self.sealed if state in ("unknown", "broken") else 0,
+            state == "broken",
+            self.sealed if state == "unsent" else 0,
         )
         self.tell()
 
+    def do_lost(self) -> None:
+        self.waiting.pop(self.sealed, None)
+
+    def do_dropped(self, count: str) -> None:
+        assert self.drops == int(count), f"it was {self.drops} times"
+
     def do_repeated(self, count: str) -> None:
         assert self.repeats == int(count), f"it was {self.repeats} times"
 
