Fix: a withdrawal no longer waits for what became of a call

Cause: nothing was ordered until the fate of the last call was known.

Change: a failed call that has no room beside its first copy, or behind which a withdrawal or a bare table would wait, is dropped; its withdrawals go again at once, the rest as there is room. The doubt ends 1.25 s after the failure, reckoned without proxies that have left and without other doubtful calls; the client tells of a failure before its pause, not after.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -28,7 +28,7 @@
 """
 
 from collections import deque
-from collections.abc import Hashable, Iterable
+from collections.abc import Collection, Hashable, Iterable
 from itertools import islice
 
 
@@ -74,17 +74,21 @@
         while len(self.unconfirmed_messages) > 1 and not self.unconfirmed_messages[0][2]:
             self.unconfirmed_messages.popleft()
 
-    def missing_confirmations_before(self, seal: int) -> int:
-        """Return how many confirmations are missing of the messages before that of a seal.
+    def missing_confirmations_before(
+        self, seal: int, receivers: Collection[Hashable], ignored_seals: Collection[int]
+    ) -> int:
+        """Return how many confirmations of some receivers are missing before a seal's message.
 
-        Return 0 if the seal is unknown.
+        Messages of ignored seals do not count. Return 0 if the seal is unknown.
 
         >>> channel = Channel()
         >>> channel.record_sent(1, 5.0, "pq", 0.0)
         >>> channel.record_sent(2, 5.0, "pqr", 0.0)
         >>> channel.record_confirmation(1, "p")
-        >>> [channel.missing_confirmations_before(seal) for seal in (1, 2, 3)]
+        >>> [channel.missing_confirmations_before(seal, "pqr", ()) for seal in (1, 2, 3)]
         [0, 1, 0]
+        >>> [channel.missing_confirmations_before(2, *args) for args in (("p", ()), ("pq", (1,)))]
+        [0, 0]
         """
         index = next(
             (
@@ -95,7 +99,10 @@
             0,
         )
         return sum(
-            len(unconfirmed) for _, _, unconfirmed, _ in islice(self.unconfirmed_messages, index)
+            receiver in receivers
+            for message_seal, _, unconfirmed, _ in islice(self.unconfirmed_messages, index)
+            if message_seal not in ignored_seals
+            for receiver in unconfirmed
         )
 
     def drop_message(self, seal: int) -> None:
--- a/lifthinge/doubtful_calls.py
+++ b/lifthinge/doubtful_calls.py
@@ -6,16 +6,21 @@
 >>> channel.record_sent(7, 20.0, ["p"], 0.0)
 >>> calls = DoubtfulCalls()
 >>> calls.add(7, is_broken_off=False, now_ms=200.0)
->>> [calls.take_ended(channel, now_ms, 300.0) for now_ms in (1000.0, 2200.0, 2300.0)]
+>>> [calls.take_ended(channel, ["p"], now_ms, 300.0) for now_ms in (1000.0, 1450.0, 1500.0)]
 [[], [7], []]
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from lifthinge.channel import Channel
+from lifthinge.interface import Proxy
 
-# A call that nobody has confirmed in this time has not run.
-MAX_DOUBT_MS = 2_000.0
+# A call that nobody has confirmed in this time has not run. With the time until an answer is
+# overdue it is under the 1.5 s for which the time limits of the rules wait for a silent relay.
+MAX_DOUBT_MS = 1_250.0
+# The same where messages before it still lack confirmations.
+MAX_BLOCKED_DOUBT_MS = 2_000.0
 # Multiple of a message's longest transit until the first answers come: there and back.
 ANSWER_TRANSIT_MULTIPLE = 2.0
 
@@ -46,21 +51,27 @@
         """Drop the call of a seal: it ran, or it is sent again."""
         self._calls.pop(seal, None)
 
-    def take_ended(self, channel: Channel, now_ms: float, max_transit_ms: float) -> list[int]:
+    def take_ended(
+        self, channel: Channel, proxies: Collection[Proxy], now_ms: float, max_transit_ms: float
+    ) -> list[int]:
         """Return and drop the seals of the calls that are taken not to have run.
 
-        One that broke off is taken not to have run if nobody confirms it in the time of a message
-        there and back, after all messages before it were confirmed.
+        `proxies` have joined. Once these have confirmed all messages before a call, the answers to
+        it would come in the time of a message there and back; where the call broke off, nothing
+        else hides them.
         """
         ended = []
         for seal, call in self._calls.items():
-            if channel.missing_confirmations_before(seal):
+            if channel.missing_confirmations_before(seal, proxies, self._calls):
                 call.blocked_at_ms = now_ms
             is_overdue = (
                 now_ms - max(call.failed_at_ms, call.blocked_at_ms)
                 > ANSWER_TRANSIT_MULTIPLE * max_transit_ms
             )
-            if now_ms - call.failed_at_ms >= MAX_DOUBT_MS or call.is_broken_off and is_overdue:
+            age_ms = now_ms - call.failed_at_ms
+            if age_ms >= MAX_BLOCKED_DOUBT_MS or (
+                is_overdue and (call.is_broken_off or age_ms >= MAX_DOUBT_MS)
+            ):
                 ended.append(seal)
         for seal in ended:
             del self._calls[seal]
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1356,38 +1356,48 @@
         )
 
     def _recover_failed_call(self) -> None:
-        """Have a failed call sent again, or give its orders anew, if the channel has room for it.
+        """Have a failed call sent again as it is, or drop it and give its orders anew.
 
-        A call of unknown fate is repeated if there is room for its entries twice, or if it has not
-        run. It is sent again as it is only if it fits the queue of the proxies that have joined by
-        now.
+        It is sent again if it fits the queue of the proxies that have joined by now, beside its
+        first copy if that may wait there, and if nothing urgent is left to order, which would wait
+        behind it.
         """
-        seal = self.channel_state.unknown_seal or self.channel_state.unsent_seal
-        if self.channel_state.unknown_seal:
-            self.doubtful_calls.add(seal, self.channel_state.is_broken, self.now_ms)
-        ended = self.doubtful_calls.take_ended(
-            self.channel, self.now_ms, self.settings.max_transit_ms
-        )
-        has_not_run = seal in ended or bool(self.channel_state.unsent_seal)
-        for other_seal in ended:
-            if other_seal != seal:
-                self.channel.drop_message(other_seal)
+        state = self.channel_state
+        seal = state.unknown_seal or state.unsent_seal
+        if state.unknown_seal:
+            self.doubtful_calls.add(seal, state.is_broken, self.now_ms)
+        self._end_doubts()
         if not seal:
             return
-        entries = self._message_entries(self.last_call_orders)
-        if has_not_run:
+        if state.unsent_seal:
             self.channel.drop_message(seal)
+        entries = self._message_entries(self.last_call_orders)
         budget = self._measure_budget()
-        if has_not_run and budget.room + budget.overhead < entries:
+        usable_room = budget.room + (budget.overhead if state.unsent_seal else 0.0)
+        if usable_room < entries or self._has_urgent_orders():
             self._take_over_call(seal)
             return
-        if not has_not_run and budget.room <= entries:
-            return
         self.channel.record_sent(seal, entries, self.proxies, self.now_ms)
-        if self.channel_state.unknown_seal:
+        if state.unknown_seal:
             self.doubtful_calls.discard(seal)
             self.other_orders.append(RepeatCall(seal))
 
+    def _end_doubts(self) -> None:
+        """Drop the messages of failed calls that have not run; they wait in no queue."""
+        for seal in self.doubtful_calls.take_ended(
+            self.channel, self.proxies, self.now_ms, self.settings.max_transit_ms
+        ):
+            self.channel.drop_message(seal)
+
+    def _has_urgent_orders(self) -> bool:
+        """Return whether a withdrawal that may use the reserve is due, or a table is bare."""
+        return any(
+            not backend.is_withdrawn
+            and (backend.phase is not Phase.READY or self._is_open(backend))
+            and self._must_withdraw(backend)
+            for backend in self.backends
+        ) or any(has_no_active_entry(slice_.table) for slice_ in self.pending_slices)
+
     def _take_over_call(self, seal: int) -> None:
         """Drop a failed call: its orders are unsettled, and are given again as there is room."""
         self.other_orders.append(DropCall(seal))
--- a/lifthinge/wire/relay_client.py
+++ b/lifthinge/wire/relay_client.py
@@ -187,10 +187,10 @@
             await self._handle_failed_call(True)
 
     async def _handle_failed_call(self, may_have_run: bool, is_broken_off: bool = False) -> None:
-        """Wait until the failed call may be repeated.
+        """Wait until the next call may be sent.
 
-        Every failure in a row but the first is followed by a random delay. A call that may have
-        run and holds a seal then waits for `allow_repeat`, `drop_call` or `on_seal_confirmed`.
+        A call that may have run and holds a seal waits for `allow_repeat`, `drop_call` or
+        `on_seal_confirmed`. Every failure in a row but the first is followed by a random delay.
         """
         self._consecutive_failures += 1
         delay_ms = 0.0
@@ -201,14 +201,15 @@
         if not may_have_run:
             await self._offer_unsent_call(delay_ms)
             return
-        if delay_ms:
-            await self.runtime.pause(delay_ms)
+        retry_at_ms = self.runtime.now + delay_ms
         if seal := self.pending_orders.next_seal():
             self.unknown_seal = seal
             self.is_broken_off = is_broken_off
             self._unknown_call_resolved.clear()
             self.on_state_changed()
             await self._unknown_call_resolved.wait()
+        if self.runtime.now < retry_at_ms:
+            await self.runtime.pause(retry_at_ms - self.runtime.now)
 
     async def _offer_unsent_call(self, delay_ms: float) -> None:
         """Wait until a call that has not run may be sent again; the decisions may drop it."""
