Fix: with one owner a slice, writes wait at a hand-over until the former owner's are done

Cause: a displaced slice got its owner in the message that withdrew the former one. Proxies get it up to 0.3 s apart, and nothing waited for them, nor for the longest time of a write, which was not read from the settings.

Change: the message that names the new owner also sets the level of the slice's writes to 0 (with silent levels it clears the table). The hold ends once every proxy that had joined has confirmed it and the longest time of a write has passed; proxies that leave, join, or do not confirm, calls that fail, and slices that are given in the middle are counted in (lifthinge/write_holds.py).

--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -83,6 +83,11 @@
     # The longest time of a message from the channel to a proxy, until it is in force there.
     max_transit_ms: float = 2_000.0
     proxy_count: int = 1  # proxies of the site; where it is sliced, each joins every instance
+    write_methods: tuple[int, ...] = ()  # numbers of the methods that write
+    max_write_ms: float = 0.0  # from when a write comes to its proxy until no backend has it
+    # How long a proxy goes on sending writes by its table after it has left, where a slice has a
+    # single owner.
+    write_lease_ms: float = 0.0
 
 
 @dataclass(eq=False, slots=True)
--- a/lifthinge/outer_names.py
+++ b/lifthinge/outer_names.py
@@ -23,6 +23,7 @@
 from lifthinge.histogram import Histogram
 from lifthinge.sliding_minimum import SlidingWindowMinimum
 from lifthinge.unsettled_orders import UnsettledOrders
+from lifthinge.write_holds import WriteHold
 
 
 class Kind(NamedTuple):
@@ -111,7 +112,8 @@
         " levels=admission_mode report_every=report_interval_ms channel_rate=channel_entries_per_ms"
         " head_lines=message_overhead_entries pending_max=max_pending_entries"
         " pushes_allowed=max_pushes_per_window update_window=push_window_ms warm_up=warm_up_ms"
-        " transit_max=max_transit_ms proxies=proxy_count",
+        " transit_max=max_transit_ms proxies=proxy_count writes=write_methods"
+        " write_max=max_write_ms write_lease=write_lease_ms",
     ),
 }
 ENUMS: dict[str, type[Enum]] = {
@@ -128,6 +130,7 @@
     "Unsettled": (UnsettledOrders, UnsettledOrders.__slots__),
     "DoubtfulCall": (DoubtfulCall, DoubtfulCall.__slots__),
     "DoubtfulCalls": (DoubtfulCalls, DoubtfulCalls.__slots__),
+    "WriteHold": (WriteHold, WriteHold.__slots__),
 }
 # The decision state in a keyframe: outer name to attribute, in the order in which they are written.
 STATE: dict[str, str] = _pairs(
@@ -141,7 +144,8 @@
     " good=ok_fraction fair=warm_ok_rate_per_size stress=zone_stress let=zone_admission"
     " plan=running_moves seal=last_seal channel way=channel_state said=other_orders"
     " owed=pending_slices call=last_call_orders unsettled=unsettled_orders"
-    " doubtful=doubtful_calls"
+    " doubtful=doubtful_calls holds=write_holds left_at=last_proxy_left_ms"
+    " departed_at=last_departure_ms"
 )
 _OUTER_NAMES: dict[type, str] = {
     **{kind.type: name for name, kind in KINDS.items()},
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -21,6 +21,7 @@
     Backend,
     BindProxy,
     ChannelState,
+    ClearTable,
     DropCall,
     Event,
     FleetNews,
@@ -51,6 +52,7 @@
 )
 from lifthinge.table_shares import active_shares, has_no_active_entry, share_if_active
 from lifthinge.unsettled_orders import UnsettledOrders
+from lifthinge.write_holds import MAX_HANDOVER_MS, MAX_SEAL, WriteHold
 
 # Placement mechanism, as the design page specifies it
 
@@ -165,8 +167,6 @@
 JOIN_GATHERING_FRACTION = 0.25
 # The channel may send this many times slower than its settings say. Older entries have left it.
 MAX_CHANNEL_SLOWDOWN_FACTOR = 6.0
-# Seal numbers start over at 1 after this one.
-MAX_SEAL = 65_000
 
 # Admission. Stress is the mean latency as a fraction of the shortest soft deadline.
 
@@ -228,7 +228,7 @@
             SliceLeaseChanged: self._on_lease_changed,
             StoredEntry: self._on_stored_entry,
             WithdrawalState: self._on_withdrawal_state,
-            ProxyLeft: lambda event: self.proxies.pop(event.proxy, None),
+            ProxyLeft: self._on_proxy_left,
             ChannelState: lambda event: setattr(self, "channel_state", event),
             SealConfirmed: self._on_seal_confirmed,
         }
@@ -271,6 +271,11 @@
         self.last_call_orders: list[Order] = []
         self.unsettled_orders = UnsettledOrders()
         self.doubtful_calls = DoubtfulCalls()
+        # Slices that one backend alone serves, while their writes are refused.
+        self.write_holds: dict[Slice, WriteHold] = {}
+        self.last_proxy_left_ms = -INFINITY
+        # When a backend was last seen to leave.
+        self.last_departure_ms = -INFINITY
         # Orders of this batch besides those of `_emit_orders`.
         self.other_orders = []
         # Slices with pending orders, the most important first.
@@ -387,7 +392,12 @@
                 and backend in self.out_of_service
                 and backend.listed_phase is Phase.READY
             )
+            former_phase = backend.phase
             backend.phase = Phase.DRAINING if is_overridden else backend.listed_phase
+            if backend.phase is Phase.DRAINING is not former_phase or (
+                former_phase is Phase.READY is not backend.phase
+            ):
+                self.last_departure_ms = self.now_ms
             backend.size = backend.listed_size * self.zone_shares.get(backend.zone, 1.0)
         if self.out_of_service and not overrides_apply:
             self.other_orders.append(
@@ -408,8 +418,18 @@
         """Add a proxy, which does not know of the present withdrawals."""
         self.proxies[event.proxy] = None
         self.last_join_ms = self.now_ms
+        # It reads the store, where a call that is under way may not be carried out yet.
+        for hold in self.write_holds.values() if not self.channel_state.is_free else ():
+            hold.record_joined(event.proxy)
         self._schedule_announcement(b for b in self.backends if b.is_withdrawn)
 
+    def _on_proxy_left(self, event: ProxyLeft) -> None:
+        """Remove a proxy, which may go on by its last tables for a while."""
+        self.proxies.pop(event.proxy, None)
+        self.last_proxy_left_ms = self.now_ms
+        for hold in self.write_holds.values():
+            hold.record_left(event.proxy, self._last_write_ms())
+
     def _schedule_announcement(self, backends: Iterable[Backend]) -> None:
         """Plan to repeat the withdrawals of backends, which some proxy may have missed."""
         self.announce_withdrawals_at_ms = (
@@ -455,9 +475,9 @@
         heat, if that is more. The first rate of a slice is not limited.
         """
         slice_ = report.slice
-        slice_.admitted_rpcs += (
-            report.rpcs * slice_.admission_levels[report.method in self.methods_by_criticality[1]]
-        )
+        if slice_ not in self.write_holds or report.method not in self.settings.write_methods:
+            level = slice_.admission_levels[report.method in self.methods_by_criticality[1]]
+            slice_.admitted_rpcs += report.rpcs * level
         total_heat = sum(s.heat or 0.0 for s in self.slices)
         max_rate = max(total_heat, OUTLIER_MULTIPLE * (slice_.heat or 0.0))
         rate = min(
@@ -485,11 +505,18 @@
         self.last_call_orders = [
             order
             for order in self.last_call_orders
-            if not isinstance(order, (SetEntry, SetAdmissionLevel)) or order.slice is not slice_
+            if not _is_order_of_slice(order) or order.slice is not slice_
         ]
+        was_held = self.write_holds.pop(slice_, None) is not None
         if event.is_granted:
             self.slices[slice_] = None
             self.admission_reset_due = True
+            # Its instance may have been handing it over; the level that held its writes is void.
+            # Where levels are silent its table would be empty.
+            if not self._clears_tables() and (
+                was_held or self.now_ms - self.last_departure_ms < MAX_HANDOVER_MS
+            ):
+                self._hold_writes(slice_)
         self.needs_planning = True
 
     def _on_stored_entry(self, event: StoredEntry) -> None:
@@ -519,6 +546,9 @@
         self.doubtful_calls.discard(event.seal)
         if not self.unsettled_orders.is_empty():
             self.unsettled_orders.discard_call(event.seal)
+        for slice_, hold in self.write_holds.items():
+            if not self._is_unsettled(slice_):
+                hold.record_confirmation(event.seal, event.proxy, self.now_ms)
 
     # Evaluation of the state
 
@@ -1240,14 +1270,21 @@
         self._plan_tables()
         for slice_ in self.slices:
             pending_entries = self._pending_entries(slice_) if slice_.desired_shares else []
+            if self._changes_owner(slice_, pending_entries):
+                self._hold_writes(slice_)
+            if not self._is_table_held(slice_):
+                pending_entries += self._unsettled_entries(slice_, pending_entries)
+            else:
+                pending_entries = []
             slice_.pending_orders = [
+                *self._pending_hold(slice_),
                 *pending_entries,
-                *self._unsettled_entries(slice_, pending_entries),
                 *self._pending_levels(slice_),
             ]
             present_shares = active_shares(slice_.table)
             slice_.shifts_rpcs = (
                 bool(self.unsettled_orders.entries(slice_))
+                or slice_ in self.write_holds
                 or self._admission_levels(slice_) != slice_.admission_levels
                 or any(
                     abs(present_shares.get(b, 0.0) - share) > SHARE_TOLERANCE_FRACTION
@@ -1266,8 +1303,96 @@
             SetEntry(slice_, backend, slice_.table.get(backend, 0.0))
             for backend in self.unsettled_orders.entries(slice_)
             if backend not in being_set
+            # A single owner's entry replaces the former one.
+            and not (self.settings.has_single_owner and entries)
         ]
 
+    def _is_unsettled(self, slice_: Slice) -> bool:
+        """Return whether orders of a failed call for a slice may be in force or not."""
+        return (
+            bool(self.unsettled_orders.entries(slice_))
+            or self.unsettled_orders.has_levels(slice_)
+            or self.unsettled_orders.is_cleared(slice_)
+        )
+
+    # Hand-over between single owners
+
+    def _changes_owner(self, slice_: Slice, entries: list[SetEntry]) -> bool:
+        """Return whether entries hand a slice from one single owner to another.
+
+        A table that is cleared in a hand-over is empty.
+        """
+        return (
+            self.settings.has_single_owner
+            and (bool(slice_.table) or self._clears_tables())
+            and any(entry.backend not in slice_.table for entry in entries)
+        )
+
+    def _clears_tables(self) -> bool:
+        """Return whether a hand-over clears the table, as the site's levels have no effect."""
+        return self.settings.admission_mode == "silent"
+
+    def _hold_writes(self, slice_: Slice) -> None:
+        """Refuse the writes of a slice until the former owner has surely finished its own.
+
+        This is done by their level, so that reads go on and the slice is never without an entry, or
+        by clearing its table where the site's levels have no effect.
+        """
+        if self.settings.has_single_owner and self.settings.write_methods:
+            self.write_holds.setdefault(slice_, WriteHold())
+
+    def _last_write_ms(self) -> float:
+        """Return when a proxy that has left may last have sent a write by its tables."""
+        return self.last_proxy_left_ms + self.settings.write_lease_ms
+
+    def _end_holds(self) -> None:
+        """End the holds that are over; the levels of their slices are then set anew."""
+        for slice_, hold in list(self.write_holds.items()):
+            if not hold.is_over(self.now_ms, self.settings.max_write_ms):
+                continue
+            self.needs_planning = True
+            if not self._clears_tables():
+                del self.write_holds[slice_]
+                self.unsettled_orders.add_levels(slice_)
+
+    def _pending_hold(self, slice_: Slice) -> list[SetAdmissionLevel]:
+        """Return the order that keeps writes from a slice, if it is due."""
+        hold = self.write_holds.get(slice_)
+        is_unsettled = self.unsettled_orders.has_levels(slice_) or self.unsettled_orders.is_cleared(
+            slice_
+        )
+        if hold is None or hold.seal and not is_unsettled:
+            return []
+        if self._clears_tables():
+            return [ClearTable(slice_)]
+        return [SetAdmissionLevel(self.settings.write_methods, slice_, 0.0, RetryMode.NEVER_RAN)]
+
+    def _is_table_held(self, slice_: Slice) -> bool:
+        """Return whether the table of a slice has to stay empty for now."""
+        hold = self.write_holds.get(slice_)
+        return (
+            hold is not None
+            and self._clears_tables()
+            and not hold.is_over(self.now_ms, self.settings.max_write_ms)
+        )
+
+    def _restart_holds(self, orders: list[Order], seal: int) -> None:
+        """Note the message that the proxies have to confirm, for the holds of slices in it."""
+        last_write_ms = max(self.now_ms, self._last_write_ms())
+        for slice_ in {order.slice: None for order in orders if _is_order_of_slice(order)}:
+            if slice_ in self.write_holds and self._clears_tables() and slice_.table:
+                del self.write_holds[slice_]
+            elif slice_ in self.write_holds:
+                self.write_holds[slice_].restart(seal, self.proxies, last_write_ms)
+
+    def _is_hold_unconfirmed(self) -> bool:
+        """Return whether a hold lacks confirmations for so long that they are asked for again."""
+        return (
+            self.channel_state.is_free
+            and self.now_ms - self.channel.last_push_ms >= MAX_CONFIRMATION_WAIT_MS
+            and any(hold.seal and hold.unconfirmed for hold in self.write_holds.values())
+        )
+
     def _is_bare(self, slice_: Slice) -> bool:
         """Return whether a slice's table has no active entry that is surely in force."""
         unsettled = self.unsettled_orders.entries(slice_)
@@ -1293,6 +1418,7 @@
         the channel. All other orders wait until enough proxies have confirmed the push before, or
         the wait for them is over.
         """
+        self._end_holds()
         if self.needs_planning:
             self._update_pending_orders()
         self._drop_old_messages()
@@ -1309,7 +1435,7 @@
             self._add_deferrable_orders(orders, budget)
         self._add_readmissions(orders, budget)
         self._add_bindings(orders)
-        if orders:
+        if orders or (budget.room > 0 and self._is_hold_unconfirmed()):
             orders.append(self._seal_message(orders))
         self._complete_moves()
         return orders + self._due_requests()
@@ -1480,7 +1606,7 @@
         bare_slices = [slice_ for slice_ in self.pending_slices if self._is_bare(slice_)]
         room = budget.room - budget.withdrawal_reserve
         if room > budget.min_room(len(bare_slices), budget.withdrawal_reserve):
-            for slice_ in bare_slices:
+            for slice_ in bare_slices if not self.settings.has_single_owner else ():
                 slice_.pending_orders = sorted(slice_.pending_orders, key=_main_entry_first)[:1]
             budget.room = self._send_pending(bare_slices, room, orders) + budget.withdrawal_reserve
             self.needs_planning = True
@@ -1565,7 +1691,8 @@
         self.channel.record_sent(self.last_seal, entries, self.proxies, self.now_ms)
         self.unsettled_orders.discard(orders)
         self.last_call_orders = list(orders)
-        return Seal(self.last_seal)
+        self._restart_holds(orders, self.last_seal)
+        return Seal(self.last_seal, all_proxies=not orders)
 
     def _complete_moves(self) -> None:
         """End the moves once their tables were sent and most proxies confirmed them."""
@@ -1640,11 +1767,15 @@
             for order in slice_.pending_orders:
                 if type(order) is SetAdmissionLevel:
                     slice_.admission_levels = self._admission_levels(slice_)
+                elif type(order) is ClearTable:
+                    slice_.table = {}
                 else:
                     slice_.table = {
                         **({} if self.settings.has_single_owner else slice_.table),
                         order.backend: order.weight,
                     }
+            if self.settings.has_single_owner:
+                self.unsettled_orders.discard_entries(slice_)
             slice_.table = {b: weight for b, weight in slice_.table.items() if weight}
             slice_.pending_orders = []
         self.pending_slices = [slice_ for slice_ in self.pending_slices if slice_.pending_orders]
@@ -1674,17 +1805,28 @@
         )
 
     def _pending_levels(self, slice_: Slice) -> list[SetAdmissionLevel]:
-        """Return the orders that bring a slice's admission levels to the desired ones."""
-        return [
-            SetAdmissionLevel(methods, slice_, level, RetryMode.NEVER_RAN)
-            for methods, level, present_level in zip(
-                self.methods_by_criticality,
-                self._admission_levels(slice_),
-                slice_.admission_levels,
-                strict=False,
-            )
-            if methods and (level != present_level or self.unsettled_orders.has_levels(slice_))
-        ]
+        """Return the orders that bring a slice's admission levels to the desired ones.
+
+        They leave out its writes while a hold of these has its own.
+        """
+        held_methods = self.settings.write_methods if slice_ in self.write_holds else ()
+        orders = []
+        for methods, level, present_level in zip(
+            self.methods_by_criticality,
+            self._admission_levels(slice_),
+            slice_.admission_levels,
+            strict=False,
+        ):
+            methods = tuple(method for method in methods if method not in held_methods)
+            if methods and (level != present_level or self.unsettled_orders.has_levels(slice_)):
+                level = level if self.settings.admission_mode == "ratio" else ADMIT_ALL_LEVEL
+                orders.append(SetAdmissionLevel(methods, slice_, level, RetryMode.NEVER_RAN))
+        return orders
+
+
+def _is_order_of_slice(order: Order) -> bool:
+    """Return whether an order sets an entry or a level of one slice."""
+    return isinstance(order, (SetEntry, ClearTable, SetAdmissionLevel)) and order.slice is not None
 
 
 def _main_entry_first(order: Order) -> tuple[bool, float]:
--- a/lifthinge/settings.py
+++ b/lifthinge/settings.py
@@ -98,9 +98,25 @@
         warm_up_ms=rules["WarmUp"] * MS_PER_S,
         max_transit_ms=specifics["TransitMax"] * MS_PER_S,
         proxy_count=max(int(specifics["DataPlaneSize"]), 1),
+        write_methods=_write_methods(conf),
+        max_write_ms=specifics.get("InFlightMax", 0.0) * MS_PER_S,
+        write_lease_ms=specifics.get("Tenure", 0.0) * MS_PER_S,
     )
 
 
+def _write_methods(conf: dict[str, Any]) -> tuple[int, ...]:
+    """Return the numbers of the methods that write; all of them where the settings don't say.
+
+    >>> _write_methods({"Specifics": {"WriteClasses": [False, True]}, "Services": [{}, {}]})
+    (1,)
+    >>> _write_methods({"Specifics": {}, "Services": [{}, {}]})
+    (0, 1)
+    """
+    methods = range(len(conf["Services"]))
+    writes = conf["Specifics"].get("WriteClasses", [True] * len(methods))
+    return tuple(method for method in methods if writes[method])
+
+
 def _layout(conf: dict[str, Any]) -> SiteLayout:
     """Read the layout, and derive the bounds of plausible reports from the settings.
 
--- a/lifthinge/unsettled_orders.py
+++ b/lifthinge/unsettled_orders.py
@@ -20,21 +20,30 @@
 
 from collections.abc import Collection, Iterable
 
-from lifthinge.interface import Backend, Order, SetAdmissionLevel, SetEntry, SetWithdrawn, Slice
+from lifthinge.interface import (
+    Backend,
+    ClearTable,
+    Order,
+    SetAdmissionLevel,
+    SetEntry,
+    SetWithdrawn,
+    Slice,
+)
 
 
 class UnsettledOrders:
-    """What failed calls have set: table entries, withdrawals and levels, with the calls' seals.
+    """What failed calls have set: entries, cleared tables, withdrawals, levels; with their seals.
 
     Orders of other types are ignored. The order of the slots is part of the capture format.
     """
 
-    __slots__ = ("_entries", "_withdrawals", "_levels")
+    __slots__ = ("_entries", "_withdrawals", "_levels", "_cleared")
 
     def __init__(self) -> None:
         self._entries: dict[Slice, dict[Backend, int]] = {}
         self._withdrawals: dict[Backend, int] = {}
         self._levels: dict[Slice, int] = {}
+        self._cleared: dict[Slice, int] = {}
 
     def add(self, orders: Iterable[Order], seal: int) -> None:
         """Add the orders of the failed call with this seal."""
@@ -45,6 +54,12 @@
                 self._withdrawals[order.backend] = seal
             elif isinstance(order, SetAdmissionLevel) and order.slice is not None:
                 self._levels[order.slice] = seal
+            elif isinstance(order, ClearTable):
+                self._cleared[order.slice] = seal
+
+    def add_levels(self, slice_: Slice) -> None:
+        """Add the levels of a slice, which have to be set anew."""
+        self._levels[slice_] = 0
 
     def discard(self, orders: Iterable[Order]) -> None:
         """Drop what these orders, which are being sent, set anew."""
@@ -58,6 +73,8 @@
                 self._withdrawals.pop(order.backend, None)
             elif isinstance(order, SetAdmissionLevel) and order.slice is not None:
                 self._levels.pop(order.slice, None)
+            elif isinstance(order, ClearTable):
+                self._cleared.pop(order.slice, None)
 
     def discard_call(self, seal: int) -> None:
         """Drop what the call with this seal has set: it ran."""
@@ -67,14 +84,20 @@
                 self._entries[slice_] = kept
             else:
                 del self._entries[slice_]
-        for seals in (self._withdrawals, self._levels):
+        for seals in (self._withdrawals, self._levels, self._cleared):
             for subject in [subject for subject, other in seals.items() if other == seal]:
                 del seals[subject]
 
     def discard_slice(self, slice_: Slice) -> None:
-        """Drop the entries and the levels of a slice that was granted anew or taken away."""
+        """Drop all that is unsettled of a slice that was granted anew or taken away."""
         self._entries.pop(slice_, None)
         self._levels.pop(slice_, None)
+        self._cleared.pop(slice_, None)
+
+    def discard_entries(self, slice_: Slice) -> None:
+        """Drop the entries of a slice, whose table is set or cleared as a whole."""
+        self._entries.pop(slice_, None)
+        self._cleared.pop(slice_, None)
 
     def discard_backend(self, backend: Backend) -> None:
         """Drop the withdrawal or readmission of a backend."""
@@ -88,10 +111,14 @@
         """Return whether levels of a slice are unsettled."""
         return slice_ in self._levels
 
+    def is_cleared(self, slice_: Slice) -> bool:
+        """Return whether it is unsettled that the table of a slice was cleared."""
+        return slice_ in self._cleared
+
     def has_withdrawal(self, backend: Backend) -> bool:
         """Return whether a withdrawal or readmission of a backend is unsettled."""
         return backend in self._withdrawals
 
     def is_empty(self) -> bool:
         """Return whether nothing is unsettled."""
-        return not (self._entries or self._withdrawals or self._levels)
+        return not (self._entries or self._withdrawals or self._levels or self._cleared)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -50,6 +50,7 @@
     "store.store",
     "table_shares",
     "unsettled_orders",
+    "write_holds",
     "settings",
     "wire.buffer",
     "wire.client",
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -312,6 +312,7 @@
     "SiteTerms": (
         "methods sliced one_owner news_on_request sizes_told levels report_every channel_rate"
         " head_lines pending_max pushes_allowed update_window warm_up transit_max proxies"
+        " writes write_max write_lease"
     ),
 }
 OUTER_ENUMS = {
@@ -324,15 +325,17 @@
     "Histogram": 2,
     "Lowest": 1,
     "Channel": 3,
-    "Unsettled": 3,
+    "Unsettled": 4,
     "DoubtfulCall": 3,
     "DoubtfulCalls": 1,
+    "WriteHold": 3,
 }
 OUTER_OBJECTS = {"b": 31, "s": 13, "p": 4}  # number of fields
 OUTER_STATE = (
     "dice soft ranks by_hand shares backends slices proxies dirty levels_due now fold_at round_at"
     " wake_at cool_until plan_worst follow_at untold untold_at joined_at horizon spans"
-    " usual good fair stress let plan seal channel way said owed call unsettled doubtful"
+    " usual good fair stress let plan seal channel way said owed call unsettled doubtful holds"
+    " left_at departed_at"
 )
 
 
--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -15,6 +15,7 @@
     heard a TOTAL ABORTED TOOK / heat S N [PERIODS]      a standing report, each period or so many; 0 ends it
     once a TOTAL ABORTED TOOK                            one report beside them
     confirm yes|no|paced    whether seals are confirmed (after 100 ms), or as the channel gets round to each proxy
+    mute N / unmute N       proxy N confirms nothing meanwhile
     channel free|held|unknown|broken|unsent    what is heard of it from now on; unknown: the last call's fate; broken: it broke
                             off; unsent: it has not run, and is sent again. The relay answers again once the decisions have
                             had a call repeated or dropped it
@@ -24,9 +25,9 @@
     clear                   forget what was ordered so far, for `said`, `sent` and `asked`
 
 and, as assertions: `owner S a`, `part S a P` (of a slice's
-RPCs, were it let in), `bare S`, `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
+RPCs, were it let in), `bare S` (its table is empty), `out a`, `in a`, `level S METHOD PART`, `said WORDS`,
 `unsaid WORDS`, `sent N` (orders of lines, levels and withdrawals), `sent some`, `queued N` (lines that
-wait, at most), `followed N`, `bound N`, `repeated N` and `dropped N` (calls), `forgot a`, `untold P N` (backends out
+wait, at most), `followed N`, `bound N`, `repeated N` and `dropped N` (calls), `asked` (all proxies to confirm), `forgot a`, `untold P N` (backends out
 of whose withdrawal proxy P was never told, though a table names them). In all scenarios a slice keeps an open line while one is ready.
 """
 
@@ -84,6 +85,9 @@
     max_pushes_per_window=0,
     push_window_ms=10000.0,
     warm_up_ms=16000.0,
+    write_methods=(1,),
+    max_write_ms=2000.0,
+    write_lease_ms=800.0,
 )
 
 
@@ -104,7 +108,8 @@
         self.forgotten: set[Backend] = set()
         self.next_report, self.due = self.now + self.terms.report_interval_ms, []
         self.state, self.repeats, self.drops, self.sealed = None, 0, 0, 0
-        self.free_at, self.last = self.now, 0.0
+        self.free_at, self.last, self.asked = self.now, 0.0, False
+        self.muted: set[Proxy] = set()
         self.told: dict[Proxy, set[Backend]] = {}  # withdrawn backends, as far as a proxy was told
 
     def name(self, kind: type, name: str) -> object:
@@ -144,24 +149,25 @@
             self.free_at = max(self.free_at, self.now)
             for place, proxy in enumerate(self.joined, 1):
                 self.free_at += self.last / self.terms.channel_entries_per_ms
+                answers = [SealConfirmed(proxy, number, 100.0)] if proxy not in self.muted else []
                 self.due.append(
-                    (
-                        self.free_at + 100.0,
-                        [SealConfirmed(proxy, number, 100.0)],
-                        number if place == len(self.joined) else 0,
-                    )
+                    (self.free_at + 100.0, answers, number if place == len(self.joined) else 0)
                 )
         elif self.confirming == "yes":
-            answers = [SealConfirmed(p, number, 100.0) for p in self.joined]
+            answers = [SealConfirmed(p, number, 100.0) for p in self.joined if p not in self.muted]
             self.due.append((self.now + 100.0, answers, number))
 
     def take(self, order: object) -> None:
         if isinstance(order, SetEntry):
             self.names.setdefault((Slice, str(order.slice.number)), order.slice)
             table = self.tables.setdefault(order.slice, {})
+            if self.terms.has_single_owner and order.weight:
+                table.clear()
             table[order.backend] = order.weight
             if not order.weight:
                 del table[order.backend]
+        elif isinstance(order, ClearTable):
+            self.tables[order.slice] = {}
         elif isinstance(order, SetWithdrawn):
             for backends in (self.out, *self.told.values()):
                 (backends.add if order.is_withdrawn else backends.discard)(order.backend)
@@ -179,6 +185,7 @@
             )
             self.forgotten.add(order.backend)
         self.followed += isinstance(order, FollowFleetList)
+        self.asked |= isinstance(order, Seal) and order.all_proxies
         self.repeats += isinstance(order, RepeatCall)
         self.drops += isinstance(order, DropCall)
         if isinstance(order, RepeatCall):
@@ -346,6 +353,15 @@
         )
         self.tell()
 
+    def do_mute(self, number: str) -> None:
+        self.muted.add(self.name(Proxy, number))
+
+    def do_unmute(self, number: str) -> None:
+        self.muted.discard(self.name(Proxy, number))
+
+    def do_asked(self) -> None:
+        assert self.asked, "the proxies were not asked"
+
     def do_lost(self) -> None:
         self.waiting.pop(self.sealed, None)
 
@@ -360,7 +376,7 @@
         self.reborn()
 
     def do_clear(self) -> None:
-        self.said, self.sent = [], 0
+        self.said, self.sent, self.asked = [], 0, False
 
     def do_owner(self, number: str, name: str) -> None:
         lines = {
@@ -369,6 +385,10 @@
         found = max(lines, key=lines.get).name
         assert found == name, f"it is {found}"
 
+    def do_bare(self, number: str) -> None:
+        table = self.tables[self.name(Slice, number)]
+        assert not table, f"it has {[backend.name for backend in table]}"
+
     def do_part(self, number: str, name: str, part: str) -> None:
         table, backend = self.tables[self.name(Slice, number)], self.name(Backend, name)
         beside = sum(w for b, w in table.items() if b is not backend and b not in self.out)
