--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -418,9 +418,10 @@
         """Add a proxy, which does not know of the present withdrawals."""
         self.proxies[event.proxy] = None
         self.last_join_ms = self.now_ms
-        # It reads the store, where a call that is under way may not be carried out yet.
-        for hold in self.write_holds.values() if not self.channel_state.is_free else ():
-            hold.record_joined(event.proxy)
+        if not self.channel_state.is_free:
+            # It reads the store, where the call that is under way may not be carried out yet.
+            for hold in self.write_holds.values():
+                hold.record_joined(event.proxy)
         self._schedule_announcement(b for b in self.backends if b.is_withdrawn)
 
     def _on_proxy_left(self, event: ProxyLeft) -> None:
@@ -547,7 +548,7 @@
         if not self.unsettled_orders.is_empty():
             self.unsettled_orders.discard_call(event.seal)
         for slice_, hold in self.write_holds.items():
-            if not self._is_unsettled(slice_):
+            if not self.unsettled_orders.has_orders_of(slice_):
                 hold.record_confirmation(event.seal, event.proxy, self.now_ms)
 
     # Evaluation of the state
@@ -1307,14 +1308,6 @@
             and not (self.settings.has_single_owner and entries)
         ]
 
-    def _is_unsettled(self, slice_: Slice) -> bool:
-        """Return whether orders of a failed call for a slice may be in force or not."""
-        return (
-            bool(self.unsettled_orders.entries(slice_))
-            or self.unsettled_orders.has_levels(slice_)
-            or self.unsettled_orders.is_cleared(slice_)
-        )
-
     # Hand-over between single owners
 
     def _changes_owner(self, slice_: Slice, entries: list[SetEntry]) -> bool:
@@ -1358,10 +1351,10 @@
     def _pending_hold(self, slice_: Slice) -> list[SetAdmissionLevel]:
         """Return the order that keeps writes from a slice, if it is due."""
         hold = self.write_holds.get(slice_)
-        is_unsettled = self.unsettled_orders.has_levels(slice_) or self.unsettled_orders.is_cleared(
-            slice_
-        )
-        if hold is None or hold.seal and not is_unsettled:
+        if hold is None:
+            return []
+        unsettled = self.unsettled_orders
+        if hold.seal and not (unsettled.has_levels(slice_) or unsettled.is_cleared(slice_)):
             return []
         if self._clears_tables():
             return [ClearTable(slice_)]
@@ -1380,10 +1373,14 @@
         """Note the message that the proxies have to confirm, for the holds of slices in it."""
         last_write_ms = max(self.now_ms, self._last_write_ms())
         for slice_ in {order.slice: None for order in orders if _is_order_of_slice(order)}:
-            if slice_ in self.write_holds and self._clears_tables() and slice_.table:
+            hold = self.write_holds.get(slice_)
+            if hold is None:
+                continue
+            if self._clears_tables() and slice_.table:
+                # The hold was over, and the new owner is named.
                 del self.write_holds[slice_]
-            elif slice_ in self.write_holds:
-                self.write_holds[slice_].restart(seal, self.proxies, last_write_ms)
+            else:
+                hold.restart(seal, self.proxies, last_write_ms)
 
     def _is_hold_unconfirmed(self) -> bool:
         """Return whether a hold lacks confirmations for so long that they are asked for again."""
@@ -1599,15 +1596,17 @@
         """Fill tables without an active entry; return whether orders for some of them are left.
 
         They are bare by a withdrawal now or by one before the slice was granted. Only their main
-        entry is sent; the rest can wait.
+        entry is sent; the rest can wait. Where a slice has a single owner, it has one entry, which
+        goes with the order that holds its writes.
         """
         if self.needs_planning:
             self._update_pending_orders()
         bare_slices = [slice_ for slice_ in self.pending_slices if self._is_bare(slice_)]
         room = budget.room - budget.withdrawal_reserve
         if room > budget.min_room(len(bare_slices), budget.withdrawal_reserve):
-            for slice_ in bare_slices if not self.settings.has_single_owner else ():
-                slice_.pending_orders = sorted(slice_.pending_orders, key=_main_entry_first)[:1]
+            if not self.settings.has_single_owner:
+                for slice_ in bare_slices:
+                    slice_.pending_orders = sorted(slice_.pending_orders, key=_main_entry_first)[:1]
             budget.room = self._send_pending(bare_slices, room, orders) + budget.withdrawal_reserve
             self.needs_planning = True
         return any(slice_.pending_orders for slice_ in bare_slices)
--- a/lifthinge/unsettled_orders.py
+++ b/lifthinge/unsettled_orders.py
@@ -115,6 +115,10 @@
         """Return whether it is unsettled that the table of a slice was cleared."""
         return slice_ in self._cleared
 
+    def has_orders_of(self, slice_: Slice) -> bool:
+        """Return whether anything is unsettled of a slice."""
+        return any(slice_ in subjects for subjects in (self._entries, self._levels, self._cleared))
+
     def has_withdrawal(self, backend: Backend) -> bool:
         """Return whether a withdrawal or readmission of a backend is unsettled."""
         return backend in self._withdrawals
