Fix: a lost call no longer counts among the messages that a site allows in a window

What callers would see: where a site limits messages in a window, a call is lost, and a later one is confirmed, the lost one's push stayed counted for the whole window, and a bare table waited for it. Cause: the push was found by its message, which the later confirmation had removed. Now the call keeps the time of its push until the doubt ends (DoubtfulCall.pushed_at_ms).

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -13,12 +13,12 @@
 >>> channel.record_sent(1, 10.0, ["q"], 5.0)
 >>> channel.waiting_entries()
 20.0
->>> channel.drop_message(1)
+>>> channel.drop_message(1, pushed_at_ms=5.0)
 >>> channel.waiting_entries(), len(channel.push_times_ms)
-(0, 0)
+(0, 1)
 >>> channel.record_sent(1, 10.0, ["q"], 6.0)
 >>> channel.waiting_entries(), len(channel.push_times_ms)
-(10.0, 1)
+(10.0, 2)
 >>> channel.drop_before(8.0, 8.0, held_until_ms=9.0)
 >>> channel.waiting_entries(), len(channel.push_times_ms)
 (10.0, 1)
@@ -105,11 +105,13 @@
             for receiver in unconfirmed
         )
 
-    def drop_message(self, seal: int) -> None:
-        """Drop the message of a seal, all of its copies, and its pushes: its calls have not run."""
-        for message_seal, _, _, sent_at_ms in self.unconfirmed_messages:
-            if message_seal == seal and sent_at_ms in self.push_times_ms:
-                self.push_times_ms.remove(sent_at_ms)
+    def drop_message(self, seal: int, pushed_at_ms: float) -> None:
+        """Drop the message of a seal, and its push: its call has not run.
+
+        The message may be gone already, where receivers have confirmed a later one.
+        """
+        if pushed_at_ms in self.push_times_ms:
+            self.push_times_ms.remove(pushed_at_ms)
         self.unconfirmed_messages = deque(
             message for message in self.unconfirmed_messages if message[0] != seal
         )
--- a/lifthinge/doubtful_calls.py
+++ b/lifthinge/doubtful_calls.py
@@ -5,9 +5,11 @@
 >>> channel = Channel()
 >>> channel.record_sent(7, 20.0, ["p"], 0.0)
 >>> calls = DoubtfulCalls()
->>> calls.add(7, is_broken_off=False, now_ms=200.0)
->>> [calls.take_ended(channel, ["p"], now_ms, 300.0) for now_ms in (1000.0, 1450.0, 1500.0)]
-[[], [7], []]
+>>> calls.add(7, pushed_at_ms=0.0, is_broken_off=False, now_ms=200.0)
+>>> calls.take_ended(channel, ["p"], 1000.0, 300.0)
+[]
+>>> [call.seal for call in calls.take_ended(channel, ["p"], 1450.0, 300.0)]
+[7]
 """
 
 from collections.abc import Collection
@@ -29,6 +31,8 @@
 class DoubtfulCall:
     """A failed call that may have run or not."""
 
+    seal: int
+    pushed_at_ms: float  # as the channel has it
     is_broken_off: bool  # the relay is there, so that confirmations would be received
     failed_at_ms: float
     blocked_at_ms: float  # when messages before it last lacked confirmations
@@ -42,10 +46,10 @@
     def __init__(self) -> None:
         self._calls: dict[int, DoubtfulCall] = {}
 
-    def add(self, seal: int, is_broken_off: bool, now_ms: float) -> None:
+    def add(self, seal: int, pushed_at_ms: float, is_broken_off: bool, now_ms: float) -> None:
         """Add a call that has failed, unless it is known."""
         if seal not in self._calls:
-            self._calls[seal] = DoubtfulCall(is_broken_off, now_ms, now_ms)
+            self._calls[seal] = DoubtfulCall(seal, pushed_at_ms, is_broken_off, now_ms, now_ms)
 
     def discard(self, seal: int) -> None:
         """Drop the call of a seal: it ran, or it is sent again."""
@@ -53,8 +57,8 @@
 
     def take_ended(
         self, channel: Channel, proxies: Collection[Proxy], now_ms: float, max_transit_ms: float
-    ) -> list[int]:
-        """Return and drop the seals of the calls that are taken not to have run.
+    ) -> list[DoubtfulCall]:
+        """Return and drop the calls that are taken not to have run.
 
         `proxies` have joined. Once these have confirmed all messages before a call, the answers to
         it would come in the time of a message there and back; where the call broke off, nothing
@@ -72,7 +76,7 @@
             if age_ms >= MAX_BLOCKED_DOUBT_MS or (
                 is_overdue and (call.is_broken_off or age_ms >= MAX_DOUBT_MS)
             ):
-                ended.append(seal)
-        for seal in ended:
-            del self._calls[seal]
+                ended.append(call)
+        for call in ended:
+            del self._calls[call.seal]
         return ended
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1488,12 +1488,12 @@
         state = self.channel_state
         seal = state.unknown_seal or state.unsent_seal
         if state.unknown_seal:
-            self.doubtful_calls.add(seal, state.is_broken, self.now_ms)
+            self.doubtful_calls.add(seal, self.channel.last_push_ms, state.is_broken, self.now_ms)
         self._end_doubts()
         if not seal:
             return
         if state.unsent_seal:
-            self.channel.drop_message(seal)
+            self.channel.drop_message(seal, self.channel.last_push_ms)
         entries = self._message_entries(self.last_call_orders)
         budget = self._measure_budget()
         usable_room = budget.room + (budget.overhead if state.unsent_seal else 0.0)
@@ -1507,10 +1507,10 @@
 
     def _end_doubts(self) -> None:
         """Drop the messages of failed calls that have not run; they wait in no queue."""
-        for seal in self.doubtful_calls.take_ended(
+        for call in self.doubtful_calls.take_ended(
             self.channel, self.proxies, self.now_ms, self.settings.max_transit_ms
         ):
-            self.channel.drop_message(seal)
+            self.channel.drop_message(call.seal, call.pushed_at_ms)
 
     def _has_urgent_orders(self) -> bool:
         """Return whether a withdrawal that may use the reserve is due, or a table is bare."""
@@ -1829,6 +1829,12 @@
 
 
 def _main_entry_first(order: Order) -> tuple[bool, float]:
-    """Return a sort key of a table's orders: its heaviest active entry comes first."""
+    """Return a sort key of a table's orders: its heaviest active entry comes first.
+
+    >>> slice_, a, b = Slice(1), Backend("a", "a", is_withdrawn=True), Backend("b", "b")
+    >>> entries = [SetEntry(slice_, a, 1000.0), SetEntry(slice_, b, 1.0), SetEntry(slice_, b, 2.0)]
+    >>> [(entry.backend.name, entry.weight) for entry in sorted(entries, key=_main_entry_first)]
+    [('b', 2.0), ('b', 1.0), ('a', 1000.0)]
+    """
     is_active = isinstance(order, SetEntry) and not order.backend.is_withdrawn
     return (not is_active, -order.weight if isinstance(order, SetEntry) else 0.0)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -38,6 +38,7 @@
     "memory.registry",
     "closest_name",
     "operators",
+    "policy",
     "outer_names",
     "raft.stored_state",
     "raft.log",
