Fix: a gone backend is not forgotten while the call that withdraws it may be lost

What callers would see: a backend is gone, its withdrawal and the removal of its entries go out in one call, and that call is lost. RPCs went on to the backend until its entries were removed again by orders that can wait.

Cause: the present state is as ordered. A report interval that ended while the call was under way found the backend withdrawn and named by no table, and forgot it; the lost withdrawal was then not given anew.

Change: nothing is forgotten while a call is under way or orders are unsettled.

Test: gone_in_lost_call failed before (the backend is in); 482 passed, 0 failed now.

--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -664,14 +664,16 @@
     def _drop_gone_backends(self) -> None:
         """Forget withdrawn backends that are gone and that no table, owner or move names.
 
-        Without this the state would grow for good, as each start may bring new ids.
+        Without this the state would grow for good, as each start may bring new ids. Nothing is
+        forgotten while a call may fail or has failed: its withdrawals may have to be given anew.
         """
+        if not self.channel_state.is_free or not self.unsettled_orders.is_empty():
+            return
         gone = {b for b in self.backends if b.phase is Phase.GONE} - set(
             self.running_moves.values()
         )
         if gone:
             gone.difference_update(*([*s.table, *s.desired_shares, s.owner] for s in self.slices))
-            gone = {b for b in gone if not self.unsettled_orders.has_withdrawal(b)}
             self.other_orders += [
                 ForgetBackend(b) for b in self.backends if b in gone and b.is_withdrawn
             ]
