Tests: rolling restarts on a small channel leave tables bare (known red)

Diagnosis before any change of the decisions.

What callers saw: requests to slices without an entry in use were not served for over 2.6 s, while ready backends stood by, withdrawn.

Checks that KNOWN-RED.txt names by `test:` are run and printed, and do not fail the run.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,4 +1,8 @@
-"""Runs the doctests, the checks, and plays every scenario; the last line counts all of them."""
+"""Runs the doctests, the checks, and plays every scenario; the last line counts all of them.
+
+A check that KNOWN-RED.txt names in a line `test: NAME` is run and printed, but its failure does not count. If it
+passes, that is printed, too: its entry is to go.
+"""
 
 import doctest
 import importlib
@@ -8,7 +12,14 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from tests import check_capture, check_members, check_raft, check_store
+from tests import (
+    check_capture,
+    check_fleet,
+    check_members,
+    check_processes,
+    check_raft,
+    check_store,
+)
 from tests.play.cluster import ClusterStage
 from tests.play.network import Network
 from tests.play.stage import Stage
@@ -77,8 +88,11 @@
     },
     **{f"capture {name}": check for name, check in check_capture.CHECKS.items()},
     **{f"raft {name}": check for name, check in check_raft.CHECKS.items()},
+    **{f"fleet {name}": check for name, check in check_fleet.CHECKS.items()},
+    **{f"processes {name}": check for name, check in check_processes.CHECKS.items()},
     **{f"members {name}": check for name, check in check_members.CHECKS.items()},
 }
+KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 SLOW = 5.0  # s, then a test is named
 
 
@@ -95,6 +109,14 @@
     return True
 
 
+def known_red() -> set[str]:
+    """Names of the checks that are known to fail, from the lines `test: NAME` of KNOWN-RED.txt."""
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {
+        line.partition("test:")[2].strip() for line in lines if line.strip().startswith("test:")
+    }
+
+
 def main(only: str) -> int:
     passed = failed = 0
     for name in MODULES:
@@ -107,9 +129,13 @@
         (path.name, lambda path=path, kind=kind: kind().run(path.read_text()))
         for path, kind in PLAYED
     ]
+    red = known_red()
     for name, test in [*tests, *CHECKS.items()]:
         if only in name:
             good = tried(name, test)
+            if name in red:
+                print(f"known red: {name}: {'passes now' if good else 'fails'}", flush=True)
+                continue
             passed, failed = passed + good, failed + (not good)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
