Logs and counters: withdrawals, readmissions, and what waits for room

The operators' excerpts did not say which backend was withdrawn, why, when it was let in, which tables were bare or what room the channel had.

Change: the decisions log `withdraw A (draining)`, `readmit A` and, once a second while ready backends stay withdrawn or tables are bare, `short:` with the orders that are pending and the entries that wait. A failed call that is sent again or dropped is logged, too.

--- /dev/null
+++ b/lifthinge/decision_log.py
@@ -0,0 +1,38 @@
+"""Texts that explain decisions on withdrawals, and what keeps backends and tables out of use."""
+
+from collections.abc import Sequence
+
+from lifthinge.channel_budget import ChannelBudget
+
+# A line names this many backends at most.
+MAX_NAMES = 8
+
+
+def describe_names(names: Sequence[str]) -> str:
+    """Return names in a row, the last ones as a number if they are many.
+
+    >>> describe_names(["a", "b"]), describe_names([str(n) for n in range(10)])
+    ('a, b', '0, 1, 2, 3, 4, 5, 6, 7 and 2 more')
+    """
+    text = ", ".join(names[:MAX_NAMES])
+    return f"{text} and {len(names) - MAX_NAMES} more" if len(names) > MAX_NAMES else text
+
+
+def describe_shortage(
+    withdrawn_names: Sequence[str], bare_count: int, pending_count: int, budget: ChannelBudget
+) -> str:
+    """Return what waits for room: ready backends that are withdrawn, bare tables, other orders.
+
+    >>> budget = ChannelBudget(
+    ...     capacity=48.0, overhead=17.0, batch_entries=23.0, waiting_entries=20.5,
+    ...     has_pushes_left=True,
+    ... )
+    >>> describe_shortage(["a"], 2, 5, budget)
+    'short: 1 ready withdrawn (a), 2 tables bare, 5 orders pending, 20.5 of 48.0 entries wait'
+    """
+    names = f" ({describe_names(withdrawn_names)})" if withdrawn_names else ""
+    return (
+        f"short: {len(withdrawn_names)} ready withdrawn{names}, {bare_count} tables bare,"
+        f" {pending_count} orders pending, {budget.waiting_entries:.1f} of {budget.capacity:.1f}"
+        " entries wait"
+    )
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -15,6 +15,7 @@
 
 from lifthinge.channel import Channel
 from lifthinge.channel_budget import URGENT_RESERVE_FRACTION, ChannelBudget
+from lifthinge.decision_log import describe_names, describe_shortage
 from lifthinge.doubtful_calls import DoubtfulCalls
 from lifthinge.interface import (
     AttemptReport,
@@ -896,6 +897,7 @@
         No slice moves while earlier moves run or the loop cools off. If the worst violator has
         become worse while moves run, those not sent yet are cancelled.
         """
+        self._log_shortage()
         for backend in self.backends:
             backend.outcomes.halve()
         median_ratio = self._median_latency_ratio()
@@ -943,6 +945,17 @@
                     self._move_slice(slice_, target)
         self._fill_started_backends(used_targets)
 
+    def _log_shortage(self) -> None:
+        """Log what waits for room of the channel, if backends or tables are out of use for it."""
+        withdrawn = [b.name for b in self.backends if b.is_withdrawn and self._is_open(b)]
+        bare_count = sum(
+            bool(slice_.table) and has_no_active_entry(slice_.table) for slice_ in self.slices
+        )
+        if withdrawn or bare_count:
+            pending_count = sum(len(slice_.pending_orders) for slice_ in self.pending_slices)
+            text = describe_shortage(withdrawn, bare_count, pending_count, self._measure_budget())
+            self.other_orders.append(LogDecision(text))
+
     def _fill_started_backends(self, used_targets: dict) -> None:
         """Move a slice from the most crowded backend to each nearly empty backend seen to start.
 
@@ -1433,6 +1446,13 @@
         if self._may_push() and not is_missing_withdrawals and not is_missing_tables:
             self._add_deferrable_orders(orders, budget)
         self._add_readmissions(orders, budget)
+        readmitted = [
+            order.backend.name
+            for order in orders
+            if isinstance(order, SetWithdrawn) and not order.is_withdrawn
+        ]
+        if readmitted:
+            self.other_orders.append(LogDecision(f"readmit {describe_names(readmitted)}"))
         self._add_bindings(orders)
         if orders or (budget.room > 0 and self._is_hold_unconfirmed()):
             orders.append(self._seal_message(orders))
@@ -1550,6 +1570,7 @@
             ),
             budget.usable_capacity / 2,
         )
+        withdrawn: list[str] = []
         for backend in self.backends:
             must_withdraw = not backend.is_withdrawn and self._must_withdraw(backend)
             if not must_withdraw and not self.unsettled_orders.has_withdrawal(backend):
@@ -1560,10 +1581,22 @@
                 else budget.urgent_reserve + 1
             )
             if budget.room > required_room:
-                backend.is_withdrawn = backend.is_withdrawn or must_withdraw
+                if must_withdraw:
+                    backend.is_withdrawn = True
+                    withdrawn.append(f"{backend.name} ({self._withdrawal_reason(backend)})")
                 orders.append(SetWithdrawn(backend, backend.is_withdrawn))
                 self.needs_planning = True
                 budget.room -= 1
+        if withdrawn:
+            self.other_orders.append(LogDecision(f"withdraw {describe_names(withdrawn)}"))
+
+    def _withdrawal_reason(self, backend: Backend) -> str:
+        """Return why a backend is withdrawn, in one or two words."""
+        if backend.listed_phase is not backend.phase:
+            return "out of service by hand"
+        if backend.phase is not Phase.READY:
+            return backend.phase.value
+        return "just started" if self._is_open(backend) else "ejected"
 
     def _add_missed_withdrawals(self, orders: list[Order], budget: ChannelBudget) -> bool:
         """Repeat withdrawals for proxies that joined late; return whether some are left to repeat.
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -38,6 +38,7 @@
 from lifthinge.memory.runtime import Runtime
 from lifthinge.outer_names import outer_name
 from lifthinge.service.config import ControllerConfig, StartupError, fields_needing_restart
+from lifthinge.service.fleet_monitor import FleetMonitor
 from lifthinge.wire.discovery import DiscoveryClient
 from lifthinge.wire.inbound import InboundServer
 from lifthinge.wire.peers import PeerTransport
@@ -127,6 +128,7 @@
             runtime, self.translator, self.registry, config.discovery, self._on_fleet_news
         )
         self.agreed_source: AgreedSource | None = None
+        self.fleet_monitor = FleetMonitor(runtime, self.registry)
         self.prober = Prober(
             runtime, self.translator, self.registry, lambda result: self.publish([result])
         )
@@ -169,6 +171,7 @@
         await self._bind("ROUTER_LISTEN", self.inbound_server.open(self.config.listen))
         if self.config.peer_listen:
             await self._bind("peer_listen", self.peers.open(self.config.peer_listen))
+        self.fleet_monitor.start()
         self._start_task("relay", self.relay.run)
         self._start_task("news", self.relay_watch.run)
         if not self.config.site.news_on_request:
@@ -230,6 +233,7 @@
 
     def stop(self) -> None:
         """Cancel all tasks and close all connections."""
+        self.fleet_monitor.stop()
         self.inbound_server.close()
         for task in self._tasks:
             task.cancel()
--- a/lifthinge/wire/relay_client.py
+++ b/lifthinge/wire/relay_client.py
@@ -88,6 +88,7 @@
         """Let the call of unknown fate with this seal be sent again."""
         if self.unknown_seal == seal:
             self.runtime.counters.add("relay_call.repeated")
+            self.runtime.rate_limited_log.warning("relay_call_repeated", seal=seal)
             self._resolve_unknown_call()
 
     def drop_call(self, seal: int) -> None:
@@ -95,6 +96,9 @@
         if seal not in (self.unknown_seal, self.unsent_seal):
             return
         self.runtime.counters.add("relay_call.dropped")
+        self.runtime.rate_limited_log.warning(
+            "relay_call_dropped", seal=seal, has_run="unknown" if self.unknown_seal else "no"
+        )
         self.pending_orders.drop_call(seal)
         self.unsent_seal = 0
         self._resolve_unknown_call()
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -33,6 +33,7 @@
     "capture.formatting",
     "channel",
     "channel_budget",
+    "decision_log",
     "doubtful_calls",
     "cluster.disk",
     "cluster.keys",
