Fix: restarted backends come back as fast as others leave, on a small channel too

Cause: a message costs 17 entries of overhead, and the reserve for urgent orders left three entries for all others. A backend in warm-up was readmitted only once no table named it without need, trace or not; its entries were cleared among standby entries and moves, and each readmission went alone. Per group of three some 30 entries were needed, about ten got out. So ever fewer backends carried everything, until one drain made dozens of tables bare. Then backends that had just come back were withdrawn again, in a message each, ahead of the bare tables.

Change: readmissions and the entries that block them go before all that can wait, nearest backend first, in the messages that leave anyway. A backend is judged by the heat that tables would bring it, with what the others push back, not by the mere presence of an entry (exposure.py). One that is still the main entry of a table takes the slice back; a warm one needs no clearing. Where a table is bare, a readmission that ends this goes first, and with nobody in use any backend is let in. Orders that can wait are pushed when nearly all the room they can have is there. What just started is judged after those that leave, so it rides in their message.

--- a/lifthinge/channel_budget.py
+++ b/lifthinge/channel_budget.py
@@ -9,9 +9,11 @@
 >>> round(budget.usable_capacity, 1), round(budget.room, 1)
 (40.6, 40.6)
 >>> budget.urgent_reserve, budget.withdrawal_reserve, budget.batch_reserve
-(20.3, 20.0, 3.0)
->>> budget.min_room(2, budget.withdrawal_reserve), budget.min_room(99, budget.withdrawal_reserve)
-(2, 10.3)
+(20.3, 10.15, 3.0)
+>>> round(budget.min_room(99, budget.withdrawal_reserve), 3), budget.min_room(2, 20.3)
+(15.225, 2)
+>>> round(budget.min_deferrable_room(99, 30.0), 2), budget.min_deferrable_room(99, 20.3)
+(9.54, 17.0)
 """
 
 from dataclasses import dataclass, field
@@ -21,18 +23,21 @@
 # Fraction of the queue that is kept free of orders that can wait.
 URGENT_RESERVE_FRACTION = 0.5
 # Fraction of the queue that is kept for withdrawals, and free of entries for tables that lack an
-# active entry.
+# active entry and for readmissions.
 WITHDRAWAL_RESERVE_FRACTION = 0.25
 # A small channel keeps at most this fraction of its usable queue free of entries that can wait.
 MAX_URGENT_RESERVE_FRACTION = 0.75
+# Orders that can wait are pushed from this fraction of the room that they can ever have. Smaller
+# pushes would spend most of a small channel on their overhead.
+MIN_DEFERRABLE_ROOM_FRACTION = 0.9
 
 
 @dataclass(slots=True)
 class ChannelBudget:
     """The room that is left for the orders of one decision, and the reserves in it.
 
-    Each reserve has room for a further message that withdraws as many backends as may be suspect
-    at once, `batch_entries` with its overhead. A small channel keeps back less.
+    The urgent reserve has room for a further message that withdraws as many backends as may be
+    suspect at once, `batch_entries` with its overhead. A small channel keeps back less.
     """
 
     capacity: float  # of the queue
@@ -53,12 +58,16 @@
             min(self.capacity * URGENT_RESERVE_FRACTION, self.usable_capacity / 2),
             min(self.batch_entries, self.usable_capacity * MAX_URGENT_RESERVE_FRACTION),
         )
-        self.withdrawal_reserve = max(
-            min(self.capacity * WITHDRAWAL_RESERVE_FRACTION, self.usable_capacity / 4),
-            min(self.batch_entries, self.usable_capacity / 2),
+        self.withdrawal_reserve = min(
+            self.capacity * WITHDRAWAL_RESERVE_FRACTION, self.usable_capacity / 4
         )
         self.batch_reserve = min(self.batch_entries - self.overhead, self.usable_capacity / 2)
 
     def min_room(self, entries: int, reserve: float) -> float:
         """Return the room beside a reserve from which on a push is worth its overhead."""
         return min(entries, self.overhead, (self.usable_capacity - reserve) / 2)
+
+    def min_deferrable_room(self, entries: int, reserve: float) -> float:
+        """Return the room beside a reserve from which on orders that can wait are pushed."""
+        usable_room = (self.usable_capacity - reserve) * MIN_DEFERRABLE_ROOM_FRACTION
+        return min(entries, self.overhead, usable_room)
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -17,6 +17,13 @@
 from lifthinge.channel_budget import URGENT_RESERVE_FRACTION, ChannelBudget
 from lifthinge.decision_log import describe_names, describe_shortage
 from lifthinge.doubtful_calls import DoubtfulCalls
+from lifthinge.exposure import (
+    FAILED_OUTCOME,
+    blocking_slices,
+    desired_heat,
+    exceeds_desired_share,
+    expected_heat,
+)
 from lifthinge.interface import (
     AttemptReport,
     Backend,
@@ -51,7 +58,12 @@
     StoredEntry,
     WithdrawalState,
 )
-from lifthinge.table_shares import active_shares, has_no_active_entry, share_if_active
+from lifthinge.table_shares import (
+    SHARE_TOLERANCE_FRACTION,
+    active_shares,
+    has_no_active_entry,
+    share_if_active,
+)
 from lifthinge.unsettled_orders import UnsettledOrders
 from lifthinge.write_holds import MAX_HANDOVER_MS, MAX_SEAL, WriteHold
 
@@ -95,12 +107,14 @@
 READMISSION_WARM_UP_FRACTION = 0.3
 # Fraction of the mean heat that fits on a backend in warm-up, before any RPC is seen to succeed.
 UNOBSERVED_HEAT_FRACTION = 0.5
+# In the first step of its warm-up a backend is withdrawn if tables expose it to more than this
+# multiple of the step. A backend falls over no sooner than at about this multiple of what it bears.
+MAX_COLD_EXPOSURE_MULTIPLE = 3.0
+# A backend that is readmitted takes back the slices whose tables give it more than this share.
+DOMINANT_SHARE_FRACTION = 0.5
 
 # Tables
 
-# Shares that differ by up to this are taken as equal, and a share this close below a step of the
-# warm-up reaches it.
-SHARE_TOLERANCE_FRACTION = 0.02
 # A standby entry has this fraction of the owner's weight, or less.
 STANDBY_WEIGHT_FRACTION = 0.001
 # A table whose main weight would exceed this is written anew.
@@ -132,9 +146,8 @@
 # A backend hangs if it should have got this number of RPCs, and none has succeeded for the longest
 # soft deadline (for the longest deadline if it is crowded) and for two mean report spans.
 MIN_HANG_RPCS = 8.0
-# The bins of `Backend.outcomes` are addressed by these values.
+# The bin of `Backend.outcomes` that counts successful attempts is addressed by this value.
 OK_OUTCOME = 0.0
-FAILED_OUTCOME = 1.0
 
 # Choice of the slices that move
 
@@ -578,9 +591,12 @@
         """
         # The limit is lower where the backend pushes back.
         ok_factor = (1.0 - backend.outcomes.share_from(FAILED_OUTCOME)) ** 2
+        return ok_factor * self._step_heat(backend)
+
+    def _step_heat(self, backend: Backend) -> float:
+        """Return the heat, in RPCs per ms, of a backend's present step of the warm-up."""
         return (
-            ok_factor
-            * self._warm_up_share(backend)
+            self._warm_up_share(backend)
             * backend.size
             * (self.warm_ok_rate_per_size or UNOBSERVED_HEAT_FRACTION * self._mean_heat())
         )
@@ -1216,8 +1232,8 @@
             if self.settings.has_single_owner
             else [SetEntry(slice_, b, 0.0) for b in table if b not in desired]
         )
-        # Backends that are not ready but still have a share, and readmissible ones in warm-up,
-        # which would get this share when they are readmitted.
+        # Backends that are not ready but still have a share. Where tables are not judged by heat,
+        # readmissible ones in warm-up, too, which would get this share when they are readmitted.
         urgent_removals = [
             entry
             for entry in stale_entries
@@ -1226,7 +1242,8 @@
                 and share_if_active(table, entry.backend) > SHARE_TOLERANCE_FRACTION
             )
             or (
-                self._is_open(entry.backend)
+                not self._judges_by_heat()
+                and self._is_open(entry.backend)
                 and entry.backend.is_withdrawn
                 and self._warm_up_share(entry.backend) < 1
             )
@@ -1406,9 +1423,22 @@
         )
 
     def _is_bare(self, slice_: Slice) -> bool:
-        """Return whether a slice's table has no active entry that is surely in force."""
+        """Return whether a slice's table has no active entry that is surely in force.
+
+        The entry of a backend that just started counts only if it is desired: others may have left
+        it all RPCs of the slice.
+        """
         unsettled = self.unsettled_orders.entries(slice_)
-        return all(b.is_withdrawn or b in unsettled for b in slice_.table)
+        return all(
+            b.is_withdrawn
+            or b in unsettled
+            or (
+                self._judges_by_heat()
+                and self._warm_up_share(b) <= WARM_UP_STEPS[0][1]
+                and b not in slice_.desired_shares
+            )
+            for b in slice_.table
+        )
 
     def _may_push(self) -> bool:
         """Return whether orders that can wait may go out now.
@@ -1428,7 +1458,8 @@
 
         Withdrawals, and tables without an active entry, are sent at once and may use a reserve of
         the channel. All other orders wait until enough proxies have confirmed the push before, or
-        the wait for them is over.
+        the wait for them is over. Readmissions go before the rest of them, since each backend in
+        use that is missing makes more tables bare when the next one leaves.
         """
         self._end_holds()
         if self.needs_planning:
@@ -1441,24 +1472,28 @@
         self._add_withdrawals(orders, budget)
         is_missing_withdrawals = self._add_missed_withdrawals(orders, budget)
         is_missing_tables = self._add_bare_tables(orders, budget)
+        self._add_readmissions(orders, budget)
         # Other orders wait while urgent ones are left: pushes of an entry or two, one after the
         # other, would take the room that all of those wait for.
         if self._may_push() and not is_missing_withdrawals and not is_missing_tables:
             self._add_deferrable_orders(orders, budget)
-        self._add_readmissions(orders, budget)
-        readmitted = [
-            order.backend.name
-            for order in orders
-            if isinstance(order, SetWithdrawn) and not order.is_withdrawn
-        ]
-        if readmitted:
-            self.other_orders.append(LogDecision(f"readmit {describe_names(readmitted)}"))
+        self._log_readmissions(orders)
         self._add_bindings(orders)
         if orders or (budget.room > 0 and self._is_hold_unconfirmed()):
             orders.append(self._seal_message(orders))
         self._complete_moves()
         return orders + self._due_requests()
 
+    def _log_readmissions(self, orders: list[Order]) -> None:
+        """Log which backends are readmitted."""
+        names = [
+            order.backend.name
+            for order in orders
+            if isinstance(order, SetWithdrawn) and not order.is_withdrawn
+        ]
+        if names:
+            self.other_orders.append(LogDecision(f"readmit {describe_names(names)}"))
+
     def _drop_old_messages(self) -> None:
         """Forget messages that must have left the channel, and pushes outside the window.
 
@@ -1571,7 +1606,8 @@
             budget.usable_capacity / 2,
         )
         withdrawn: list[str] = []
-        for backend in self.backends:
+        # Those that leave go first: they may leave all RPCs of a table to one that just started.
+        for backend in sorted(self.backends, key=lambda backend: backend.phase is Phase.READY):
             must_withdraw = not backend.is_withdrawn and self._must_withdraw(backend)
             if not must_withdraw and not self.unsettled_orders.has_withdrawal(backend):
                 continue
@@ -1630,9 +1666,10 @@
     def _add_bare_tables(self, orders: list[Order], budget: ChannelBudget) -> bool:
         """Fill tables without an active entry; return whether orders for some of them are left.
 
-        They are bare by a withdrawal now or by one before the slice was granted. Only their main
-        entry is sent; the rest can wait. Where a slice has a single owner, it has one entry, which
-        goes with the order that holds its writes.
+        They are bare by a withdrawal now or by one before the slice was granted. Backends whose
+        readmission ends this go first. Of the others only the main entry is sent; the rest can
+        wait. Where a slice has a single owner, it has one entry, which goes with the order that
+        holds its writes.
         """
         if self.needs_planning:
             self._update_pending_orders()
@@ -1640,12 +1677,28 @@
         room = budget.room - budget.withdrawal_reserve
         if room > budget.min_room(len(bare_slices), budget.withdrawal_reserve):
             if not self.settings.has_single_owner:
+                room = self._readmit(self._bare_table_remedies(bare_slices), room, orders)
+                if self.needs_planning:
+                    self._update_pending_orders()
+                bare_slices = [slice_ for slice_ in self.pending_slices if self._is_bare(slice_)]
                 for slice_ in bare_slices:
                     slice_.pending_orders = sorted(slice_.pending_orders, key=_main_entry_first)[:1]
             budget.room = self._send_pending(bare_slices, room, orders) + budget.withdrawal_reserve
             self.needs_planning = True
         return any(slice_.pending_orders for slice_ in bare_slices)
 
+    def _bare_table_remedies(self, bare_slices: list[Slice]) -> list[Backend]:
+        """Return the backends whose readmission gives a bare table an active entry."""
+        return [
+            backend
+            for backend in self.backends
+            if backend.is_withdrawn
+            and any(
+                backend in slice_.table and has_no_active_entry(slice_.table)
+                for slice_ in bare_slices
+            )
+        ]
+
     def _add_deferrable_orders(self, orders: list[Order], budget: ChannelBudget) -> None:
         """Add the tables and levels that can wait, beside the reserve for urgent orders."""
         reserve = budget.urgent_reserve
@@ -1663,41 +1716,95 @@
                     RetryMode.NEVER_RAN,
                 )
             )
+        if self.needs_planning:
+            self._update_pending_orders()
         pending_count = sum(len(slice_.pending_orders) for slice_ in self.pending_slices)
-        if orders or budget.room > budget.min_room(pending_count, reserve):
+        if orders or budget.room > budget.min_deferrable_room(pending_count, reserve):
             budget.room = self._send_pending(self.pending_slices, budget.room, orders)
 
     def _add_readmissions(self, orders: list[Order], budget: ChannelBudget) -> None:
-        """Readmit backends, beside the reserve for urgent orders."""
-        for backend in self.backends:
-            if (
-                not backend.is_withdrawn
-                or budget.room <= budget.urgent_reserve + 1
-                or not self._may_readmit(backend)
-            ):
+        """Readmit backends, and remove the entries that keep them out, beside a reserve.
+
+        Those with the fewest such entries come first, so that few entries bring a backend back.
+        """
+        reserve = budget.withdrawal_reserve
+        is_push_due = self._may_push() or budget.room > budget.urgent_reserve + 1
+        if budget.room <= reserve + 1 or not (orders or is_push_due):
+            return
+        blocking = {
+            backend: self._blocking_slices(backend)
+            for backend in self.backends
+            if backend.is_withdrawn and self._is_open(backend)
+        }
+        entry_count = len(blocking) + sum(map(len, blocking.values()))
+        is_worth_push = budget.room - reserve > budget.min_room(entry_count, reserve)
+        if not blocking or not (orders or is_worth_push):
+            return
+        if self.needs_planning:
+            self._update_pending_orders()
+        budget.room -= reserve
+        for backend in sorted(blocking, key=lambda backend: len(blocking[backend])):
+            if self._judges_by_heat():
+                budget.room = self._clear_entries(backend, budget.room, orders)
+            budget.room = self._readmit([backend], budget.room, orders)
+        budget.room += reserve
+
+    def _clear_entries(self, backend: Backend, room: float, orders: list[Order]) -> float:
+        """Set the tables that keep a backend withdrawn, and return the room that is left.
+
+        An undesired entry is removed alone: what else the table lacks can wait.
+        """
+        slices = self._blocking_slices(backend)
+        for slice_ in slices:
+            if backend in slice_.desired_shares or has_no_active_entry(slice_.table):
+                continue
+            slice_.pending_orders = [SetEntry(slice_, backend, 0.0)]
+            self.needs_planning = True
+        return self._send_pending(slices, room, orders)
+
+    def _readmit(self, backends: list[Backend], room: float, orders: list[Order]) -> float:
+        """Readmit those backends that may be, and return the room that is left.
+
+        A backend that this decision withdraws stays so. One that a table still names as its main
+        entry takes the slice back, as that costs no entry.
+        """
+        for backend in backends:
+            if room <= 1 or SetWithdrawn(backend, True) in orders or not self._may_readmit(backend):
                 continue
             backend.is_withdrawn = False
             self.needs_planning = True
-            budget.room -= 1
+            room -= 1
             self._clear_statistics(backend)
             for slice_ in (s for s in self.slices if backend in s.table):
                 slice_.rpcs_shifted_at_ms = self.now_ms
+                if (
+                    self._judges_by_heat()
+                    and share_if_active(slice_.table, backend) > DOMINANT_SHARE_FRACTION
+                ):
+                    slice_.owner = backend
+                    self.running_moves.pop(slice_, None)
             orders.append(SetWithdrawn(backend, False))
+        return room
 
     def _may_readmit(self, backend: Backend) -> bool:
         """Return whether an open backend may be readmitted.
 
-        It may once no table gives it more than it should get, or, if it is warm, where it would end
-        the lack of an active entry.
+        It may once tables expose it to no more than it should get. Where it would end the lack of
+        an active entry it may, too, if it is warm, if it bears that for a moment, or if no backend
+        is left in use.
         """
         if not self._is_open(backend):
             return False
-        return not self._exceeds_desired(backend) or (
+        if not self._exceeds_desired(backend):
+            return True
+        if not any(
+            backend in slice_.table and has_no_active_entry(slice_.table) for slice_ in self.slices
+        ):
+            return False
+        return (
             self._warm_up_share(backend) >= 1
-            and any(
-                backend in slice_.table and has_no_active_entry(slice_.table)
-                for slice_ in self.slices
-            )
+            or not self._is_overexposed(backend)
+            or not any(self._is_usable(other) for other in self.backends)
         )
 
     def _add_bindings(self, orders: list[Order]) -> None:
@@ -1761,7 +1868,7 @@
         if backend.phase is not Phase.READY:
             return True
         if self._is_open(backend) and (
-            self._warm_up_share(backend) > WARM_UP_STEPS[0][1] or not self._exceeds_desired(backend)
+            self._warm_up_share(backend) > WARM_UP_STEPS[0][1] or not self._is_overexposed(backend)
         ):
             return False
         return all(
@@ -1770,20 +1877,54 @@
             if backend in slice_.desired_shares
         )
 
+    def _judges_by_heat(self) -> bool:
+        """Return whether backends are withdrawn and readmitted by the heat that tables bring them.
+
+        Without slices there are no reports of heat, and a single owner has the whole slice.
+        """
+        return self.settings.sliced and not self.settings.has_single_owner
+
     def _exceeds_desired(self, backend: Backend) -> bool:
+        """Return whether tables give, or would give, a backend more than it should get."""
+        return bool(self._blocking_slices(backend))
+
+    def _blocking_slices(self, backend: Backend) -> list[Slice]:
+        """Return the slices that would give a backend more than it should get.
+
+        Where tables are judged by heat these are the hottest, up to those with which it has no more
+        than its step of the warm-up, or than is desired.
+        """
+        if self._judges_by_heat():
+            allowed_heat = max(self._heat_limit(backend), desired_heat(self.slices, backend))
+            return blocking_slices(
+                self.slices, backend, allowed_heat * (1 + SHARE_TOLERANCE_FRACTION)
+            )
+        return [slice_ for slice_ in self.slices if self._exceeds_desired_share(slice_, backend)]
+
+    def _exceeds_desired_share(self, slice_: Slice, backend: Backend) -> bool:
         """Return whether a table gives, or would give, a backend more than its desired share.
 
         For a backend in warm-up any undesired entry is too much, however small its weight: it
         brings the RPCs that other backends refuse.
         """
-        return any(
-            share_if_active(slice_.table, backend) - SHARE_TOLERANCE_FRACTION
-            > slice_.desired_shares.get(backend, 0.0) / (sum(slice_.desired_shares.values()) or 1.0)
-            or (self._warm_up_share(backend) < 1 and backend not in slice_.desired_shares)
-            for slice_ in self.slices
-            if backend in slice_.table
+        if backend not in slice_.table:
+            return False
+        return exceeds_desired_share(slice_, backend) or (
+            self._warm_up_share(backend) < 1 and backend not in slice_.desired_shares
         )
 
+    def _is_overexposed(self, backend: Backend) -> bool:
+        """Return whether tables bring a backend so much that it would fall over while it is cold.
+
+        What it pushes back itself does not count here: to withdraw it for that leaves its RPCs to
+        the others, which push back as well.
+        """
+        if not self._judges_by_heat():
+            return self._exceeds_desired(backend)
+        allowed_heat = max(self._step_heat(backend), desired_heat(self.slices, backend))
+        exposure = sum(expected_heat(slice_, backend) for slice_ in self.slices)
+        return exposure > MAX_COLD_EXPOSURE_MULTIPLE * allowed_heat
+
     def _send_pending(self, slices: list[Slice], room: float, orders: list[Order]) -> float:
         """Append the pending orders of slices to `orders`, and return the room that is left.
 
--- a/lifthinge/table_shares.py
+++ b/lifthinge/table_shares.py
@@ -5,6 +5,9 @@
 
 from lifthinge.interface import Backend
 
+# Shares that differ by up to this are taken as equal.
+SHARE_TOLERANCE_FRACTION = 0.02
+
 
 def active_shares(table: dict[Backend, float]) -> dict[Backend, float]:
     """Return the share of the RPCs of each backend that is not withdrawn; the shares add up to 1.
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -35,6 +35,7 @@
     "channel_budget",
     "decision_log",
     "doubtful_calls",
+    "exposure",
     "cluster.disk",
     "cluster.keys",
     "cluster.frame_auth",
