Fix: entries for proxies that have left no longer hold up the channel

Cause: what waited for proxies that left counted as waiting for 9 s, six times the queue, as nobody confirms it. So there was no room to repeat the withdrawals, nor for bare tables.

Change: messages leave the channel one after another, so a confirmation of a later one shows that no earlier one waits; its entries leave the account.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -59,7 +59,18 @@
     def record_confirmation(self, seal: int, receiver: Hashable) -> None:
         """Record that a receiver has confirmed a seal, and with it all earlier messages.
 
-        A seal that no recorded message carries is ignored.
+        Messages leave the channel one after another, so nothing of the earlier ones waits any more,
+        even for receivers that have left and will not confirm. A seal that no recorded message
+        carries is ignored.
+
+        >>> channel = Channel()
+        >>> channel.record_sent(1, 10.0, "pq", 0.0)
+        >>> channel.record_sent(2, 5.0, "r", 1.0)
+        >>> channel.waiting_entries()
+        25.0
+        >>> channel.record_confirmation(2, "r")
+        >>> channel.waiting_entries()
+        0.0
         """
         last_confirmed = max(
             (
@@ -71,6 +82,9 @@
         )
         for _, _, unconfirmed, _ in islice(self.unconfirmed_messages, last_confirmed + 1):
             unconfirmed.pop(receiver, None)
+        for index in range(last_confirmed):
+            message_seal, _, unconfirmed, sent_at_ms = self.unconfirmed_messages[index]
+            self.unconfirmed_messages[index] = (message_seal, 0.0, unconfirmed, sent_at_ms)
         while len(self.unconfirmed_messages) > 1 and not self.unconfirmed_messages[0][2]:
             self.unconfirmed_messages.popleft()
 
