Fix: a start stamped by a stepped clock counts as a start right now

Cause: started_ms is stamped on another machine, and was compared with the controller's reading of Unix time as it stands.

Change: any new value is a start; its time is believed if it lies between the last word from discovery, less the 6 s that this may be late, and now. Otherwise the backend has started just now. Unchanged lists are told every 5 s, so that the last word is recent.

--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -99,6 +99,8 @@
     (0.6, 0.8),
     (1.0, 1.0),
 )
+# What discovery has to tell comes this much later at most.
+MAX_LIST_LAG_MS = 6_000.0
 # Fraction of a warm backend's heat that a backend on probation gets.
 PROBATION_FRACTION = 0.05
 # Probation ends after this number of recent successful attempts.
@@ -258,6 +260,8 @@
         # The worst violator's latency ratio over the median ratio in the last round.
         self.worst_violation = 0.0
         self.follow_list_at_ms = 0.0 if settings.news_on_request else INFINITY
+        # When the list was last heard from discovery.
+        self.last_list_at_ms = -INFINITY
         # Withdrawn backends of which proxies that joined late may not know: an ordered set.
         self.unannounced_withdrawals = {}
         self.announce_withdrawals_at_ms = 0.0
@@ -325,20 +329,10 @@
         for entry in news.listings:
             backend = entry.backend
             listed[backend] = self.backends.setdefault(backend)
-            # A restarted backend is treated as a new one, whether or not it was listed as gone in
-            # between: tables from before the restart may overload it.
-            if (
-                entry.started_at_ms > backend.started_at_ms
-                and entry.started_at_ms + self.settings.warm_up_ms > self.now_ms
-            ):
-                backend.ramp_start_ms = entry.started_at_ms
-                backend.ramp_duration_ms = self.settings.warm_up_ms
-                backend.ejected_until_ms = 0.0
-                backend.is_on_probation = False
-                self._clear_statistics(backend)
+            if entry.phase is not Phase.GONE:
+                self._note_start(backend, entry.started_at_ms)
             backend.zone = entry.zone
             backend.listed_phase = entry.phase
-            backend.started_at_ms = entry.started_at_ms
             backend.listed_size = (
                 entry.size if self.settings.uses_listed_sizes and entry.size > 0 else 1.0
             )
@@ -348,8 +342,32 @@
             if news.kind is not FleetNewsKind.DELTA and known_backend not in listed
         ):
             backend.listed_phase = Phase.GONE
+        if news.kind is not FleetNewsKind.CACHED:
+            self.last_list_at_ms = self.now_ms
         self._update_phases()
 
+    def _note_start(self, backend: Backend, listed_start_ms: float) -> None:
+        """Take over when a backend started, by the list; let it warm up if that is not long ago.
+
+        A restarted backend is treated as a new one, whether or not it was listed as gone in
+        between: tables from before the restart may overload it. A start that the list would have
+        told before, or that is to come, was stamped by a clock that has been stepped since, or had
+        been before: it counts as a start right now.
+        """
+        if listed_start_ms == backend.started_at_ms:
+            return
+        backend.started_at_ms = listed_start_ms
+        earliest_ms = self.last_list_at_ms - MAX_LIST_LAG_MS
+        is_plausible = earliest_ms <= listed_start_ms <= self.now_ms
+        start_ms = listed_start_ms if is_plausible else self.now_ms
+        if not listed_start_ms or start_ms + self.settings.warm_up_ms <= self.now_ms:
+            return
+        backend.ramp_start_ms = start_ms
+        backend.ramp_duration_ms = self.settings.warm_up_ms
+        backend.ejected_until_ms = 0.0
+        backend.is_on_probation = False
+        self._clear_statistics(backend)
+
     def _group_by_criticality(
         self, criticality_by_method: dict[int, float]
     ) -> list[tuple[int, ...]]:
--- a/lifthinge/wire/discovery.py
+++ b/lifthinge/wire/discovery.py
@@ -1,6 +1,7 @@
 """Client of discovery: fetches the fleet list, then watches its changes without a gap.
 
-Only differences from the registry's listings are published.
+Only differences from the registry's listings are published, and every few seconds that there are
+none.
 """
 
 import logging
@@ -21,6 +22,8 @@
 LONG_WATCH_MS = 4_000
 # The same after an answer with invalid entries: when it is over, the full list is requested.
 SHORT_WATCH_MS = 1_000
+# News without changes, which tells that the list is as it was, is published after this time.
+MIN_UNCHANGED_NEWS_INTERVAL_MS = 5_000.0
 ANSWER_TIMEOUT_MS = 700.0  # on top of the time that the request asks discovery to wait
 # Delay before a request from the second failure in a row on, drawn at random up to the maximum. The
 # minimum also follows an answer without a change that came sooner than the maximum.
@@ -50,6 +53,7 @@
         self.registry = registry
         self.address = address
         self.publish = publish
+        self._last_news_ms = float("-inf")
         self.has_answered = False  # whether discovery has ever sent a list that could be read
         # The client of each running `watch_list`, the newest last.
         self._watches: list[HttpClient] = []
@@ -225,7 +229,10 @@
         self.registry.version = version
         self.has_answered = True
         self._store_listings(changed)
-        if changed or is_first:
+        # Without changes the news only says that the list is as it was.
+        is_news_due = self.runtime.now - self._last_news_ms >= MIN_UNCHANGED_NEWS_INTERVAL_MS
+        if changed or is_first or is_news_due:
+            self._last_news_ms = self.runtime.now
             self.publish(FleetNews(FleetNewsKind.DELTA, changed))
         return None
 
