Tests: a soak of rolling restarts with drawn sizes and disruptions

Need: the operators qualify with other faults, sizes and paces.

Change: tests/soak_fleet.py draws restarts, crashes, joins, a lost zone, controller restarts and stepped clocks under a virtual clock.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -19,6 +19,7 @@
     check_processes,
     check_raft,
     check_store,
+    soak_fleet,
 )
 from tests.play.cluster import ClusterStage
 from tests.play.network import Network
@@ -91,6 +92,7 @@
     **{f"capture {name}": check for name, check in check_capture.CHECKS.items()},
     **{f"raft {name}": check for name, check in check_raft.CHECKS.items()},
     **{f"fleet {name}": check for name, check in check_fleet.CHECKS.items()},
+    "fleet soak": soak_fleet.check_soak,
     **{f"processes {name}": check for name, check in check_processes.CHECKS.items()},
     **{f"members {name}": check for name, check in check_members.CHECKS.items()},
 }
