--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1490,9 +1490,7 @@
         self._add_withdrawals(orders, budget)
         is_missing_withdrawals = self._add_missed_withdrawals(orders, budget)
         is_missing_tables = self._add_bare_tables(orders, budget)
-        # By themselves readmissions wait for bare tables, which need more room at a time.
-        if orders or not is_missing_tables:
-            self._add_readmissions(orders, budget)
+        self._add_readmissions(orders, budget)
         # Other orders wait while urgent ones are left: pushes of an entry or two, one after the
         # other, would take the room that all of those wait for.
         if self._may_push() and not is_missing_withdrawals and not is_missing_tables:
