--- a/lifthinge/lab/fleetworld.py
+++ b/lifthinge/lab/fleetworld.py
@@ -140,6 +140,7 @@
     capacity: float  # when warm
     phase: Phase = Phase.READY
     is_alive: bool = True
+    is_hanging: bool = False  # it takes RPCs and does not answer, so that no attempt is reported
     started_at_ms: float | None = None  # None: long ago
     listed_start_ms: float = 0.0  # as the list tells it
     departing_since_ms: float | None = None  # when the controllers were told
@@ -532,6 +533,11 @@
         for name in names:
             self.backends[name].is_alive = False
 
+    def hang(self, names: Iterable[str], is_hanging: bool) -> None:
+        """Let backends take RPCs without an answer, or answer again."""
+        for name in names:
+            self.backends[name].is_hanging = is_hanging
+
     def restart(self, names: Iterable[str], clock_error_ms: float = 0.0) -> None:
         """Start backends anew, cold; the list is wrong by this much about when."""
         names = list(names)
@@ -625,6 +631,8 @@
             sums[0] += load * TICK_MS
             sums[1] += load * TICK_MS * backend.refused_fraction
             sums[2] += load * TICK_MS * (1 - backend.refused_fraction) * latency_ms
+            if backend.is_hanging:
+                sums[:] = [0.0, 0.0, 0.0]
             self._check_backend(backend, load, capacity)
         departing = {
             name: backend.departing_since_ms
--- a/tests/check_processes.py
+++ b/tests/check_processes.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import copy
+import random
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from review.standin.world import Discovery, Record, Server, World
+from tests.play.slow_channel import SlowChannelWorld
 
 BACKENDS, GROUP_SIZE, GROUPS = 30, 3, 9
 START_S, EVERY_S, DRAIN_S, DOWN_S, SETTLE_S = 7.0, 3.35, 6.6, 1.4, 15.0
@@ -61,6 +63,16 @@
     return world
 
 
+def _slow_world(record: Record) -> World:
+    """Return a platform of the size of issue 48, whose channel is 8 times slower for 25 s."""
+    return SlowChannelWorld(record, 75, 8_166.7, factor=8.0, begin_s=9.0, end_s=34.0)
+
+
+def _slow_world_of_more_proxies(record: Record) -> World:
+    """Return the same with twice the proxies, for 30 s."""
+    return SlowChannelWorld(record, 150, 8_166.7, factor=8.0, begin_s=9.0, end_s=39.0)
+
+
 class _AgentBehind(Discovery):
     """An agent of discovery that knows the list of some time ago, until it catches up."""
 
@@ -98,6 +110,21 @@
     agent.catch_up(world.discovery)
 
 
+async def _rejoin_by_turns(world: World) -> None:
+    """Let a tenth of the proxies lose their streams and join again, every two seconds, for 35 s."""
+    dice = random.Random(3)
+    await asyncio.sleep(START_S)
+    for _ in range(15):
+        await asyncio.sleep(2.0)
+        joined = [proxy for proxy in world.proxies if proxy.joined]
+        some = dice.sample(joined, len(world.proxies) // 10)
+        for proxy in some:
+            world.leave(proxy)
+        await asyncio.sleep(0.3)
+        for proxy in some:
+            world.join(proxy)
+
+
 async def _nothing(world: World) -> None:
     """No further trouble."""
 
@@ -113,7 +140,10 @@
         await asyncio.gather(trouble(world), *restarts)
         await asyncio.sleep(SETTLE_S)
         ready = [name for name, server in world.servers.items() if server.state == "ready"]
-        return world.violations, sum(name in world.withdrawn for name in ready)
+        breaches = world.violations
+        if isinstance(world, SlowChannelWorld):
+            breaches = breaches + world.queue_breach()
+        return breaches, sum(name in world.withdrawn for name in ready)
     finally:
         await world.end()
 
@@ -145,4 +175,14 @@
     _check_rolling_restart(_small_world, _move_discovery)
 
 
+# Withdrawals and their repeats for proxies that had joined took all of a slow channel, so tables stayed bare (issue 48).
+def check_slow_channel_with_joins_of_processes() -> None:
+    _check_rolling_restart(_slow_world, _rejoin_by_turns)
+
+
+# The same without joins: each group's withdrawal went out alone, so the channel carried little but overhead (issue 48).
+def check_slow_channel_of_more_proxies_of_processes() -> None:
+    _check_rolling_restart(_slow_world_of_more_proxies)
+
+
 CHECKS = {name[6:]: check for name, check in globals().items() if name.startswith("check_")}
