Fix: orders wait for a busy channel and go by their slack, in one message

Cause: each withdrawal and each repeat for proxies that had joined went out at once, as a message of its own. That fills a slow channel with overhead (17 of 20 entries), keeps its queue full, and what the withdrawals make necessary (entries of bare tables, readmissions) finds no room beside its reserve. Class: orders of one rule starve those of another, as nothing compares how long each can wait. Messages leave one after another, so an order behind a full queue arrives no sooner for being sent at once.

While confirmations show that the channel is busy, all orders wait until only a round trip is left in it; what came up meanwhile shares one message. How long each class has waited is counted in what the channel has sent since, as the limits are stretched alike, so the pace need not be known. Withdrawals go first; what could make them late waits, unless it is more urgent itself. Bare tables use the reserve once another message would make them late. Readmissions go before bare tables that can wait, and in place of a repeat, which costs the same. Nothing waits if no confirmation comes, or a call's fate is open.

Captures are of form 6.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -35,6 +35,8 @@
 from dataclasses import dataclass
 from itertools import islice
 
+INFINITY = float("inf")
+
 
 @dataclass(slots=True)
 class ChannelMessage:
@@ -48,6 +50,24 @@
     unconfirmed: dict[Hashable, None]  # receivers; a dictionary keeps their order
     sent_at_ms: float
     total_entries: float  # of all its receivers when it was sent
+    lost_receivers: int = 0  # unconfirmed ones that have left, which confirm nothing any more
+
+    def waiting_entries(self) -> float:
+        """Return the entries that may wait, summed over the receivers."""
+        return self.entries * len(self.unconfirmed)
+
+    def awaited_entries_each(self) -> float:
+        """Return what may wait for each receiver by the confirmations that are still to come."""
+        awaited_count = len(self.unconfirmed) - self.lost_receivers
+        return self.entries * self.entries * awaited_count / max(self.total_entries, 1e-9)
+
+    def is_mostly_received(self) -> bool:
+        """Return whether at least half of it has left the channel."""
+        return self.waiting_entries() <= self.total_entries / 2
+
+    def waiting_entries_each(self) -> float:
+        """Return the same on the mean of the receivers to which it was sent."""
+        return self.entries * self.waiting_entries() / max(self.total_entries, 1e-9)
 
 
 class Channel:
@@ -66,6 +86,10 @@
         "loses_confirmations",
         "lateness_ms",
         "proven_entries_per_ms",
+        "sent_entries",
+        "left_at_push",
+        "measured_pace",
+        "pace_samples",
     )
 
     def __init__(self) -> None:
@@ -80,15 +104,25 @@
         self.lateness_ms = 0.0
         # The pace that the confirmations of a message have proven; 0: none yet.
         self.proven_entries_per_ms = 0.0
+        # Entries of all messages so far for each receiver, and how many of them had left by the
+        # last push.
+        self.sent_entries = 0.0
+        self.left_at_push = 0.0
+        # The pace of late, in entries per ms for each receiver; infinite: too quick to be measured.
+        self.measured_pace = INFINITY
+        # Times, and what had left by then, at the confirmations of the last transit.
+        self.pace_samples: deque[tuple[float, float]] = deque()
 
     def record_sent(
         self, seal: int, entries: float, receivers: Iterable[Hashable], now_ms: float
     ) -> None:
         """Record a message that carries this many entries to each receiver."""
         unconfirmed = dict.fromkeys(receivers)
+        self.left_at_push = self.left_entries()
         self.messages.append(
             ChannelMessage(seal, entries, unconfirmed, now_ms, entries * len(unconfirmed))
         )
+        self.sent_entries += entries * bool(unconfirmed)
         self.push_times_ms.append(now_ms)
         self.last_push_ms = now_ms
         if self.unanswered_since_ms <= self.last_confirmation_ms:
@@ -121,6 +155,7 @@
         self.loses_confirmations = False
         for message in islice(self.messages, index + 1):
             message.unconfirmed.pop(receiver, None)
+            message.lost_receivers = min(message.lost_receivers, len(message.unconfirmed))
         self._record_timing(self.messages[index], now_ms, elapsed_ms)
         self._record_left_before(index)
 
@@ -135,6 +170,18 @@
         if elapsed_ms > 0 and confirmed_entries >= message.total_entries / 2:
             self.proven_entries_per_ms = confirmed_entries / elapsed_ms
 
+    def record_receiver_left(self, receiver: Hashable) -> None:
+        """Record that a receiver has left: what waits for it stays, but it confirms nothing.
+
+        >>> channel = Channel()
+        >>> channel.record_sent(1, 10.0, "pq", 0.0)
+        >>> channel.record_receiver_left("p")
+        >>> channel.waiting_entries(), channel.awaited_entries()
+        (20.0, 5.0)
+        """
+        for message in self.messages:
+            message.lost_receivers += receiver in message.unconfirmed
+
     def record_in_force(self, seal: int) -> None:
         """Record that all receivers have applied a message, as reports show, and earlier ones.
 
@@ -223,6 +270,9 @@
         """
         if pushed_at_ms in self.push_times_ms:
             self.push_times_ms.remove(pushed_at_ms)
+        self.sent_entries -= sum(
+            message.waiting_entries_each() for message in self.messages if message.seal == seal
+        )
         self.messages = deque(message for message in self.messages if message.seal != seal)
 
     def drop_before(
@@ -245,7 +295,68 @@
 
     def waiting_entries(self) -> float:
         """Return the entries that may still wait in the channel, summed over the receivers."""
-        return sum(message.entries * len(message.unconfirmed) for message in self.messages)
+        return sum(message.waiting_entries() for message in self.messages)
+
+    def awaited_entries(self) -> float:
+        """Return how many entries for each receiver may wait that will be confirmed once left."""
+        return sum(message.awaited_entries_each() for message in self.messages)
+
+    def left_entries(self) -> float:
+        """Return how many entries for each receiver are known to have left so far.
+
+        >>> channel = Channel()
+        >>> channel.record_sent(1, 10.0, "pq", 0.0)
+        >>> channel.record_sent(2, 5.0, "pqrs", 0.0)
+        >>> channel.record_confirmation(1, "p", 1.0, 0.0)
+        >>> channel.left_entries()
+        5.0
+        >>> channel.record_confirmation(2, "q", 2.0, 0.0)
+        >>> channel.left_entries()
+        11.25
+        """
+        return self.sent_entries - sum(message.waiting_entries_each() for message in self.messages)
+
+    def measure_pace(self, max_transit_ms: float) -> None:
+        """Measure the pace by what has left since the last push; a confirmation has come.
+
+        The first confirmations follow a push by a transit, and tell of the pace only later. Most
+        of a message that leaves sooner does so too quickly to be measured.
+
+        >>> channel = Channel()
+        >>> channel.record_sent(1, 10.0, "pqr", 0.0)
+        >>> channel.record_confirmation(1, "p", 700.0, 0.0)
+        >>> channel.measure_pace(200.0)
+        >>> round(channel.measured_pace * 1000, 2)
+        6.67
+        >>> channel.record_sent(2, 10.0, "pqr", 1000.0)
+        >>> channel.record_confirmation(2, "p", 1200.0, 0.0)
+        >>> channel.measure_pace(200.0)
+        >>> round(channel.measured_pace * 1000, 2)
+        6.67
+        >>> channel.record_confirmation(2, "q", 1210.0, 0.0)
+        >>> channel.measure_pace(200.0)
+        >>> channel.measured_pace
+        inf
+        """
+        now_ms, left_entries = self.last_confirmation_ms, self.left_entries()
+        span_ms = now_ms - self.last_push_ms - max_transit_ms
+        recent_pace = self._sample_pace(now_ms, left_entries, max_transit_ms)
+        if span_ms >= max_transit_ms:
+            self.measured_pace = max((left_entries - self.left_at_push) / span_ms, recent_pace)
+        elif self.messages and self.messages[-1].is_mostly_received():
+            self.measured_pace = INFINITY
+
+    def _sample_pace(self, now_ms: float, left_entries: float, window_ms: float) -> float:
+        """Record what has left by now; return the pace over the last window, or 0 if unknown."""
+        samples = self.pace_samples
+        if not samples or samples[-1][0] < now_ms:
+            samples.append((now_ms, left_entries))
+        while len(samples) > 1 and samples[1][0] <= now_ms - window_ms:
+            samples.popleft()
+        first_ms, first_left = samples[0]
+        if now_ms - first_ms < window_ms:
+            return 0.0
+        return (left_entries - first_left) / (now_ms - first_ms)
 
     def waiting_entries_at_pace(self, now_ms: float, min_entries_per_ms: float) -> float:
         """Return the same for a channel that sends at this pace at least.
@@ -285,6 +396,10 @@
         is_current = self.unanswered_ms(now_ms) <= self.lateness_ms + max_gap_ms
         return self.proven_entries_per_ms if is_late and is_current else 0.0
 
+    def last_message_entries(self) -> float:
+        """Return the size of the last message for each receiver, as far as it may wait; or 0."""
+        return self.messages[-1].entries if self.messages else 0.0
+
     def unconfirmed_receivers(self) -> int:
         """Return how many receivers have not confirmed the latest message."""
         return len(self.messages[-1].unconfirmed) if self.messages else 0
--- a/lifthinge/channel_budget.py
+++ b/lifthinge/channel_budget.py
@@ -24,6 +24,8 @@
 
 from dataclasses import dataclass, field
 
+from lifthinge.order_timing import MessageSlack, OrderClass
+
 # Fraction of the channel's queue that is ever used.
 USABLE_CHANNEL_FRACTION = 0.9
 # Fraction of the queue that is kept free of orders that can wait.
@@ -68,6 +70,8 @@
     # What waits beside `waiting_entries` if the channel stands still: orders that can wait leave
     # room for it, too.
     stalled_entries: float = 0.0
+    slack: MessageSlack = field(default_factory=lambda: MessageSlack({}, 0.0))
+    withdrawal_count: int = 0  # orders in the message that withdraw backends which depart
     usable_capacity: float = field(init=False)  # beside the overhead of a message
     room: float = field(init=False)
     urgent_reserve: float = field(init=False)  # kept free of orders that can wait
@@ -99,6 +103,21 @@
 
         self.urgent_reserve += self.stalled_entries
 
+    def is_pressing(self, order_class: OrderClass) -> bool:
+        """Return whether orders may come too late if another message of a usual size goes first."""
+        return self.slack.is_pressing(order_class, self.usable_capacity / 2)
+
+    def room_beside(
+        self, reserve: float, order_count: int, order_class: OrderClass | None = None
+    ) -> float:
+        """Return the room for orders of a class, beside a reserve and what withdrawals bear.
+
+        The message holds `order_count` orders already.
+        """
+        other_count = order_count - self.withdrawal_count
+        bearable = self.slack.room_beside_withdrawals(order_class) - other_count
+        return min(self.room - reserve, bearable)
+
     def _usable_part(self, capacity: float) -> float:
         """Return what is used of a capacity, beside the overhead of a message."""
         return capacity * USABLE_CHANNEL_FRACTION - self.overhead
--- a/lifthinge/doubtful_calls.py
+++ b/lifthinge/doubtful_calls.py
@@ -51,6 +51,10 @@
         if seal not in self._calls:
             self._calls[seal] = DoubtfulCall(seal, pushed_at_ms, is_broken_off, now_ms, now_ms)
 
+    def is_empty(self) -> bool:
+        """Return whether the fate of all calls is known."""
+        return not self._calls
+
     def discard(self, seal: int) -> None:
         """Drop the call of a seal: it ran, or it is sent again."""
         self._calls.pop(seal, None)
--- a/lifthinge/outer_names.py
+++ b/lifthinge/outer_names.py
@@ -23,6 +23,7 @@
 from lifthinge.delivery_evidence import DeliveryEvidence, WatchedWithdrawal
 from lifthinge.doubtful_calls import DoubtfulCall, DoubtfulCalls
 from lifthinge.histogram import Histogram
+from lifthinge.order_timing import OrderClass, OrderTiming, OrderWait
 from lifthinge.sliding_minimum import SlidingWindowMinimum
 from lifthinge.unsettled_orders import UnsettledOrders
 from lifthinge.write_holds import WriteHold
@@ -125,6 +126,7 @@
     "Outcome": interface.ProbeOutcome,
     "Retry": interface.RetryMode,
     "ChannelCondition": ChannelCondition,
+    "OrderClass": OrderClass,
 }
 # Types whose slots are written as values in this order; they are restored without `__init__`.
 HOLDERS: dict[str, tuple[type, tuple[str, ...]]] = {
@@ -137,6 +139,8 @@
     "Unsettled": (UnsettledOrders, UnsettledOrders.__slots__),
     "DoubtfulCall": (DoubtfulCall, DoubtfulCall.__slots__),
     "DoubtfulCalls": (DoubtfulCalls, DoubtfulCalls.__slots__),
+    "OrderTiming": (OrderTiming, OrderTiming.__slots__),
+    "OrderWait": (OrderWait, OrderWait.__slots__),
     "WriteHold": (WriteHold, WriteHold.__slots__),
 }
 # The decision state in a keyframe: outer name to attribute, in the order in which they are written.
@@ -153,7 +157,7 @@
     " owed=pending_slices call=last_call_orders unsettled=unsettled_orders"
     " doubtful=doubtful_calls holds=write_holds left_at=last_proxy_left_ms"
     " departed_at=last_departure_ms list_at=last_list_at_ms condition=channel_condition"
-    " evidence=delivery_evidence broad_at=broad_trouble_at_ms"
+    " evidence=delivery_evidence broad_at=broad_trouble_at_ms timing=order_timing"
 )
 _OUTER_NAMES: dict[type, str] = {
     **{kind.type: name for name, kind in KINDS.items()},
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -65,6 +65,7 @@
     WithdrawalState,
 )
 from lifthinge.older_lists import MAX_LIST_LAG_MS
+from lifthinge.order_timing import ChannelView, OrderClass, OrderTiming, must_wait
 from lifthinge.table_shares import (
     SHARE_TOLERANCE_FRACTION,
     active_shares,
@@ -291,6 +292,7 @@
         self.channel = Channel()
         self.channel_condition = ChannelCondition.CONFIRMED
         self.delivery_evidence = DeliveryEvidence()
+        self.order_timing = OrderTiming()
         self.channel_state = ChannelState(True)
         # Orders of the last call, without its seal.
         self.last_call_orders: list[Order] = []
@@ -469,6 +471,7 @@
     def _on_proxy_left(self, event: ProxyLeft) -> None:
         """Remove a proxy, which may go on by its last tables for a while."""
         self.proxies.pop(event.proxy, None)
+        self.channel.record_receiver_left(event.proxy)
         self.last_proxy_left_ms = self.now_ms
         for hold in self.write_holds.values():
             hold.record_left(event.proxy, self._last_write_ms())
@@ -588,6 +591,7 @@
     def _on_seal_confirmed(self, event: SealConfirmed) -> None:
         """Record a proxy's confirmation; it shows that the call of the seal ran."""
         self.channel.record_confirmation(event.seal, event.proxy, self.now_ms, event.elapsed_ms)
+        self.channel.measure_pace(self.settings.max_transit_ms)
         self.doubtful_calls.discard(event.seal)
         if not self.unsettled_orders.is_empty():
             self.unsettled_orders.discard_call(event.seal)
@@ -1557,12 +1561,25 @@
         self._drop_old_messages()
         self._recover_failed_call()
         budget = self._measure_budget()
+        if self._must_wait(budget):
+            self._complete_moves()
+            return self._due_requests()
         budget.room *= self.channel_state.is_free
         orders: list[Order] = []
         self._add_withdrawals(orders, budget)
-        is_missing_withdrawals = self._add_missed_withdrawals(orders, budget)
+        budget.withdrawal_count = len(orders)
+        is_message_due = bool(orders) or any(map(self._is_bare, self.pending_slices))
+        if budget.is_pressing(OrderClass.MISSED_WITHDRAWAL) and (
+            is_message_due or self._has_gathered_joins(budget)
+        ):
+            self._add_missed_withdrawals(orders, budget, is_message_due)
+        if not budget.is_pressing(OrderClass.BARE_TABLE):
+            self._add_readmissions(orders, budget)
         is_missing_tables = self._add_bare_tables(orders, budget)
         self._add_readmissions(orders, budget)
+        if orders or self._has_gathered_joins(budget):
+            self._add_missed_withdrawals(orders, budget, bool(orders))
+        is_missing_withdrawals = bool(self._missed_withdrawals())
         # Other orders wait while urgent ones are left: pushes of an entry or two, one after the
         # other, would take the room that all of those wait for.
         if self._may_push() and not is_missing_withdrawals and not is_missing_tables:
@@ -1574,6 +1591,56 @@
         self._complete_moves()
         return orders + self._due_requests()
 
+    def _must_wait(self, budget: ChannelBudget) -> bool:
+        """Return whether all orders wait for the messages under way; note since when they do."""
+        view = self._view_channel(budget)
+        grace_entries, bare_entries = budget.grace_entries, budget.bare_entries
+        timing = self.order_timing
+        timing.update(OrderClass.WITHDRAWAL, self._leaving_count(), grace_entries, view)
+        missed_count = len(self._missed_withdrawals())
+        timing.update(OrderClass.MISSED_WITHDRAWAL, missed_count, grace_entries, view)
+        bare_count = sum(self._is_bare(slice_) for slice_ in self.pending_slices)
+        timing.update(OrderClass.BARE_TABLE, bare_count, bare_entries, view)
+        budget.slack = timing.measure_slack(view)
+        is_bound = self.settings.sliced or all(proxy.is_bound for proxy in self.proxies)
+        return is_bound and must_wait(view)
+
+    def _view_channel(self, budget: ChannelBudget) -> ChannelView:
+        """Return what is known of the channel now."""
+        stated_pace = self.settings.channel_entries_per_ms / self._receiver_count()
+        quiet_ms = self.channel.overdue_ms(self.now_ms)
+        return ChannelView(
+            now_ms=self.now_ms,
+            waiting_entries=budget.waiting_entries,
+            awaited_entries=self.channel.awaited_entries(),
+            left_entries=self.channel.left_entries(),
+            stated_pace=stated_pace,
+            pace=min(self.channel.measured_pace, stated_pace),
+            overhead=budget.overhead,
+            max_transit_ms=self.settings.max_transit_ms,
+            quiet_ms=quiet_ms,
+            is_heard=not self._certain_pace()
+            and quiet_ms <= self._usual_confirmation_gap_ms()
+            and self.unsettled_orders.is_empty()
+            and self.doubtful_calls.is_empty(),
+        )
+
+    def _leaving_count(self) -> int:
+        """Return how many backends that depart are still to be withdrawn."""
+        return sum(
+            backend.phase is not Phase.READY
+            and (not backend.is_withdrawn or self.unsettled_orders.has_withdrawal(backend))
+            for backend in self.backends
+        )
+
+    def _missed_withdrawals(self) -> list[Backend]:
+        """Return the withdrawn backends of which proxies that joined late may not know."""
+        return [
+            backend
+            for backend in self.unannounced_withdrawals
+            if backend.is_withdrawn and any(backend in slice_.table for slice_ in self.slices)
+        ]
+
     def _log_readmissions(self, orders: list[Order]) -> None:
         """Log which backends are readmitted."""
         names = [
@@ -1661,6 +1728,12 @@
             + MAX_CHANNEL_SLOWDOWN_FACTOR * copy_ms
         )
 
+    def _usual_confirmation_gap_ms(self) -> float:
+        """Return the longest time between two confirmations while a message leaves the channel."""
+        copy_ms = self.channel.last_message_entries() / self.settings.channel_entries_per_ms
+        usual_ms = self.settings.max_transit_ms + MAX_CHANNEL_SLOWDOWN_FACTOR * copy_ms
+        return min(usual_ms, self._longest_confirmation_gap_ms())
+
     def _is_confirmation_overdue(self, elapsed_ms: float) -> bool:
         """Return whether most proxies lack a confirmation, and none came for too long."""
         return (
@@ -1730,14 +1803,7 @@
         All backends that leave go in one message, since a second one would have to wait for room
         for its overhead as well. Ejected backends may not use the reserve.
         """
-        leaving_count = min(
-            sum(
-                b.phase is not Phase.READY
-                and (not b.is_withdrawn or self.unsettled_orders.has_withdrawal(b))
-                for b in self.backends
-            ),
-            budget.usable_capacity / 2,
-        )
+        leaving_count = min(self._leaving_count(), budget.usable_capacity / 2)
         withdrawn: list[str] = []
         # Those that leave go first: they may leave all RPCs of a table to one that just started.
         for backend in sorted(self.backends, key=lambda backend: backend.phase is Phase.READY):
@@ -1767,22 +1833,25 @@
             return backend.phase.value
         return "just started" if self._is_open(backend) else "ejected"
 
-    def _add_missed_withdrawals(self, orders: list[Order], budget: ChannelBudget) -> bool:
-        """Repeat withdrawals for proxies that joined late; return whether some are left to repeat.
+    def _add_missed_withdrawals(
+        self, orders: list[Order], budget: ChannelBudget, is_message_due: bool
+    ) -> None:
+        """Repeat withdrawals for proxies that joined late, together, beside a reserve.
 
-        They go together, since each push costs its overhead, and those that most RPCs would reach
-        go first. A further message that withdraws a batch always has room.
+        Those that most RPCs would reach go first. If no message is due anyway, they have to be
+        worth its overhead.
         """
+        missed_withdrawals = self._missed_withdrawals()
+        room = budget.room_beside(budget.batch_reserve, len(orders), OrderClass.MISSED_WITHDRAWAL)
+        min_room = budget.min_room(len(missed_withdrawals), budget.batch_reserve)
+        if not is_message_due and room <= min_room:
+            return
+        # To readmit a backend costs no more than to repeat that it is withdrawn.
+        readmissible = [b for b in missed_withdrawals if self._may_readmit(b)]
+        budget.room -= room - (room := self._readmit(readmissible, room, orders))
         missed_withdrawals = [
-            b
-            for b in self.unannounced_withdrawals
-            if b.is_withdrawn and any(b in slice_.table for slice_ in self.slices)
+            b for b in missed_withdrawals if b.is_withdrawn and SetWithdrawn(b, True) not in orders
         ]
-        room = budget.room - budget.batch_reserve
-        if self.now_ms < self.announce_withdrawals_at_ms or room <= budget.min_room(
-            len(missed_withdrawals), budget.batch_reserve
-        ):
-            return bool(missed_withdrawals)
         missed_withdrawals.sort(
             key=lambda b: (
                 -max(
@@ -1790,11 +1859,17 @@
                 )
             )
         )
-        announced = missed_withdrawals[: int(room)]
-        self.unannounced_withdrawals = dict.fromkeys(missed_withdrawals[int(room) :])
+        announced = missed_withdrawals[: max(int(room), 0)]
+        self.unannounced_withdrawals = dict.fromkeys(missed_withdrawals[len(announced) :])
         orders += [SetWithdrawn(b, True) for b in announced]
         budget.room -= len(announced)
-        return bool(self.unannounced_withdrawals)
+
+    def _has_gathered_joins(self, budget: ChannelBudget) -> bool:
+        """Return whether joins have been gathered for long enough, as quick as the channel is."""
+        view = self._view_channel(budget)
+        gathering_ms = MAX_CONFIRMATION_WAIT_MS * JOIN_GATHERING_FRACTION
+        slowdown = min(view.stated_pace / max(view.pace, 1e-9), MAX_CHANNEL_SLOWDOWN_FACTOR)
+        return self.now_ms >= self.announce_withdrawals_at_ms + gathering_ms * (slowdown - 1)
 
     def _add_bare_tables(self, orders: list[Order], budget: ChannelBudget) -> bool:
         """Fill tables without an active entry; return whether orders for some of them are left.
@@ -1807,16 +1882,19 @@
         if self.needs_planning:
             self._update_pending_orders()
         bare_slices = [slice_ for slice_ in self.pending_slices if self._is_bare(slice_)]
-        room = budget.room - budget.withdrawal_reserve
-        if room > budget.min_room(len(bare_slices), budget.withdrawal_reserve):
+        reserve = 0.0 if budget.is_pressing(OrderClass.BARE_TABLE) else budget.withdrawal_reserve
+        room = budget.room_beside(reserve, len(orders), OrderClass.BARE_TABLE)
+        if orders or room > budget.min_room(len(bare_slices), reserve):
             if not self.settings.has_single_owner:
+                room_before = room
                 room = self._readmit(self._bare_table_remedies(bare_slices), room, orders)
+                budget.room -= room_before - room
                 if self.needs_planning:
                     self._update_pending_orders()
                 bare_slices = [slice_ for slice_ in self.pending_slices if self._is_bare(slice_)]
                 for slice_ in bare_slices:
                     slice_.pending_orders = sorted(slice_.pending_orders, key=_main_entry_first)[:1]
-            budget.room = self._send_pending(bare_slices, room, orders) + budget.withdrawal_reserve
+            budget.room -= room - self._send_pending(bare_slices, room, orders)
             self.needs_planning = True
         return any(slice_.pending_orders for slice_ in bare_slices)
 
@@ -1853,7 +1931,8 @@
             self._update_pending_orders()
         pending_count = sum(len(slice_.pending_orders) for slice_ in self.pending_slices)
         if orders or budget.room > budget.min_deferrable_room(pending_count, reserve):
-            budget.room = self._send_pending(self.pending_slices, budget.room, orders)
+            room = budget.room_beside(0.0, len(orders))
+            budget.room -= room - self._send_pending(self.pending_slices, room, orders)
 
     def _add_readmissions(self, orders: list[Order], budget: ChannelBudget) -> None:
         """Readmit backends, and remove the entries that keep them out, beside a reserve.
@@ -1875,12 +1954,12 @@
             return
         if self.needs_planning:
             self._update_pending_orders()
-        budget.room -= reserve
         for backend in sorted(blocking, key=lambda backend: len(blocking[backend])):
+            room = room_before = budget.room_beside(reserve, len(orders), OrderClass.READMISSION)
             if self._judges_by_heat():
-                budget.room = self._clear_entries(backend, budget.room, orders)
-            budget.room = self._readmit([backend], budget.room, orders)
-        budget.room += reserve
+                room = self._clear_entries(backend, room, orders)
+            room = self._readmit([backend], room, orders)
+            budget.room -= room_before - room
 
     def _clear_entries(self, backend: Backend, room: float, orders: list[Order]) -> float:
         """Set the tables that keep a backend withdrawn, and return the room that is left.
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -58,6 +58,7 @@
     "memory.registry",
     "closest_name",
     "older_lists",
+    "order_timing",
     "operators",
     "policy",
     "outer_names",
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -321,17 +321,20 @@
     "Outcome": "ok aborted pushed_back late unreachable broken",
     "Retry": "0 1 2 3",
     "ChannelCondition": "confirmed silent late loses_confirmations",
+    "OrderClass": "withdrawal missed_withdrawal bare_table readmission",
 }
 OUTER_HOLDERS = {  # number of slots
     "Histogram": 2,
     "Lowest": 1,
-    "Channel": 8,
-    "ChannelMessage": 5,
+    "Channel": 12,
+    "ChannelMessage": 6,
     "DeliveryEvidence": 4,
     "WatchedWithdrawal": 4,
     "Unsettled": 4,
     "DoubtfulCall": 5,
     "DoubtfulCalls": 1,
+    "OrderTiming": 1,
+    "OrderWait": 4,
     "WriteHold": 3,
 }
 OUTER_OBJECTS = {"b": 32, "s": 13, "p": 4}  # number of fields
@@ -339,7 +342,7 @@
     "dice soft ranks by_hand shares backends slices proxies dirty levels_due now fold_at round_at"
     " wake_at cool_until plan_worst follow_at untold untold_at joined_at horizon spans"
     " usual good fair stress let plan seal channel way said owed call unsettled doubtful holds"
-    " left_at departed_at list_at condition evidence broad_at"
+    " left_at departed_at list_at condition evidence broad_at timing"
 )
 
 
@@ -360,7 +363,7 @@
     played.run((HERE / "scenarios" / "violator.txt").read_text())
     frame = next(record for record in reversed(played.records[0]) if record[0] == "k")
     _, terms, _, (form, own, objects) = frame
-    assert form == 5 and terms[:2] == ["o", "SiteTerms"] and " ".join(own) == OUTER_STATE
+    assert form == 6 and terms[:2] == ["o", "SiteTerms"] and " ".join(own) == OUTER_STATE
     assert own["channel"][:2] == ["h", "Channel"] and own["way"][:2] == ["o", "ChannelState"]
     assert {one[0]: len(one) - 2 for one in objects} == OUTER_OBJECTS
     backend = next(one for one in objects if one[0] == "b")
