Fix: nobody counts as hanging before the tables that ask it have arrived

Cause: RPCs were expected from three report spans after the order, whatever the channel still held; a withdrawal, which shifts the RPCs of each table that names the backend, did not count as a shift at all; and the time without an answer began with the last one, long before the first RPC was due. Class: judged by the time of the order instead of its arrival.

Change: a shift counts as settling until most proxies have confirmed its message (or none confirms); withdrawals and readmissions count as shifts; the time without an answer begins when RPCs were first expected.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -224,6 +224,21 @@
         if index is not None:
             self._record_left_before(index)
 
+    def is_under_way(self, seal: int) -> bool:
+        """Return whether most receivers of a message have yet to confirm it.
+
+        >>> channel = Channel()
+        >>> channel.record_sent(1, 10.0, "pqr", 0.0)
+        >>> channel.record_confirmation(1, "p", 1.0, 0.0)
+        >>> channel.is_under_way(1), channel.is_under_way(2)
+        (True, False)
+        >>> channel.record_confirmation(1, "q", 1.0, 0.0)
+        >>> channel.is_under_way(1)
+        False
+        """
+        index = self._last_index(seal)
+        return index is not None and not self.messages[index].is_mostly_received()
+
     def _last_index(self, seal: int) -> int | None:
         """Return the index of the latest message of a seal, or None."""
         indices = [i for i, message in enumerate(self.messages) if message.seal == seal]
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -129,6 +129,7 @@
     smoothed_latency_ms: float = 0.0  # exponential mean of `mean_latency_ms`
     is_on_probation: bool = False  # was ejected, and has not answered well since
     rpcs_since_ok: float = 0.0  # expected RPCs since an attempt last succeeded
+    unanswered_since_ms: float = 0.0  # when the first of these were expected
     ramp_start_ms: float | None = None  # start of its warm-up; None: it was never seen to start
     ramp_duration_ms: float = 1.0
     cold_until_ms: float = 0.0  # end of the warm-up after its last start that was seen
@@ -151,6 +152,7 @@
     shifts_rpcs: bool = False  # whether the pending orders shift RPCs, or only standby entries
     move_blocked_until_ms: float = 0.0
     rpcs_shifted_at_ms: float | None = None  # when its RPCs were last shifted
+    shift_seal: int = 0  # of the message that did so
     heat: float | None = None  # RPCs per ms
     # Method -> RPCs per ms, and when they were last reported.
     method_rates: dict = field(default_factory=dict)
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -692,6 +692,8 @@
                 if slice_.method_rates
                 else slice_.heat
             )
+            if self._is_shift_under_way(slice_):
+                slice_.rpcs_shifted_at_ms = self.now_ms
             # RPCs are expected by the table only if it has been in force for a while.
             if (
                 slice_.rpcs_shifted_at_ms is None
@@ -713,6 +715,14 @@
         self._count_violations()
         self.needs_planning = True
 
+    def _is_shift_under_way(self, slice_: Slice) -> bool:
+        """Return whether most proxies have yet to get the message that last shifted RPCs.
+
+        Where no confirmation comes it counts as received.
+        """
+        is_silent = self.channel.overdue_ms(self.now_ms) > self._longest_confirmation_gap_ms()
+        return not is_silent and self.channel.is_under_way(slice_.shift_seal)
+
     def _record_deliveries(self) -> None:
         """Take over which messages the proxies have received, as the reports of attempts show."""
         attempts = {
@@ -782,9 +792,13 @@
         ):
             backend.is_on_probation = False
             backend.ramp_start_ms = self.now_ms
-        backend.rpcs_since_ok = (
-            0.0 if backend.ok_attempts else backend.rpcs_since_ok + backend.expected_rpcs
-        )
+        if backend.ok_attempts:
+            backend.rpcs_since_ok = 0.0
+        else:
+            backend.rpcs_since_ok += backend.expected_rpcs
+        # Traces of weight bring a fraction of an RPC now and then.
+        if backend.rpcs_since_ok < 1:
+            backend.unanswered_since_ms = self.now_ms
 
     def _is_crowded(self, backend: Backend) -> bool:
         """Return whether a backend's mean latency is above the low stress mark."""
@@ -909,7 +923,7 @@
             # ... or it hangs.
             or (
                 candidate.rpcs_since_ok >= MIN_HANG_RPCS
-                and self.now_ms - (candidate.last_ok_at_ms or 0.0)
+                and self.now_ms - candidate.unanswered_since_ms
                 > max(
                     2 * self.mean_report_span_ms,
                     max(
@@ -1817,6 +1831,7 @@
             )
             if budget.room > required_room:
                 if must_withdraw:
+                    self._note_shift(backend)
                     backend.is_withdrawn = True
                     withdrawn.append(f"{backend.name} ({self._withdrawal_reason(backend)})")
                 orders.append(SetWithdrawn(backend, backend.is_withdrawn))
@@ -1825,6 +1840,12 @@
         if withdrawn:
             self.other_orders.append(LogDecision(f"withdraw {describe_names(withdrawn)}"))
 
+    def _note_shift(self, backend: Backend) -> None:
+        """Note that this decision shifts the RPCs of all tables that name a backend."""
+        for slice_ in self.slices:
+            if backend in slice_.table:
+                slice_.rpcs_shifted_at_ms = self.now_ms
+
     def _withdrawal_reason(self, backend: Backend) -> str:
         """Return why a backend is withdrawn, in one or two words."""
         if backend.listed_phase is not backend.phase:
@@ -1987,8 +2008,8 @@
             self.needs_planning = True
             room -= 1
             self._clear_statistics(backend)
+            self._note_shift(backend)
             for slice_ in (s for s in self.slices if backend in s.table):
-                slice_.rpcs_shifted_at_ms = self.now_ms
                 if (
                     self._judges_by_heat()
                     and share_if_active(slice_.table, backend) > DOMINANT_SHARE_FRACTION
@@ -2046,6 +2067,9 @@
         self.last_call_orders = list(orders)
         self._watch_delivery(orders)
         self._restart_holds(orders, self.last_seal)
+        for slice_ in self.slices:
+            if slice_.rpcs_shifted_at_ms == self.now_ms:
+                slice_.shift_seal = self.last_seal
         return Seal(self.last_seal, all_proxies=not orders)
 
     def _watch_delivery(self, orders: list[Order]) -> None:
--- a/tests/check_scarce_channel.py
+++ b/tests/check_scarce_channel.py
@@ -106,6 +106,17 @@
     )
 
 
+# Sound backends were shut out as hanging while the table that sent them RPCs was still on its way (issue 48).
+def check_nobody_hangs_before_the_tables_arrive() -> None:
+    for seed in (4, 5):
+        world = FleetWorld(FleetOptions(faults=_slow(3.0, 9_000.0, 39_000.0)), seed)
+        end_ms = world.rolling_restart(check_fleet._names(3, 9), START_MS, 3_350.0)
+        world.run(end_ms + check_fleet.SETTLE_MS)
+        texts = [text for controller in world.controllers for text in controller.decided]
+        hanging = [text for text in texts if text.startswith("shut out") and ": 0% of" in text]
+        assert not hanging, f"seed {seed}: {len(hanging)}, the first: {hanging[0]}"
+
+
 CHECKS = {
     name[6:]: check
     for name, check in globals().items()
