Log: a channel slower than stated, and orders that may come too late

Change: 'channel: sends 4.5 times slower than stated, ..' when the pace that confirmations show falls below half of the stated one, 'confirmed again' once it is back; 'late: bare_table by 37.9 entries; ..' once a second while orders may miss the limit of their rule, with the class and by how much, in what the channel sends meanwhile.

--- a/lifthinge/channel_condition.py
+++ b/lifthinge/channel_condition.py
@@ -8,6 +8,10 @@
 'channel: confirmations come 2.0 s late, 20.5 of 48.0 entries may wait'
 >>> describe_change(ChannelCondition.CONFIRMED, 0.0, 6.0, 48.0)
 'channel: confirmed again, 6.0 of 48.0 entries may wait'
+>>> describe_slowdown(7.84, 20.5, 48.0)
+'channel: sends 7.8 times slower than stated, 20.5 of 48.0 entries may wait'
+>>> is_slow(1.7, was_slow=False), is_slow(1.7, was_slow=True), is_slow(2.5, was_slow=False)
+(False, True, True)
 """
 
 from enum import Enum
@@ -15,6 +19,10 @@
 # Fraction of the stated pace, or of a proven one, at which a channel whose confirmations are lost
 # or late is taken to send at least.
 MIN_UNCONFIRMED_PACE_FRACTION = 0.5
+# A channel counts as slow from the first of these multiples of the stated time on, and no more
+# below the second one.
+SLOW_CHANNEL_FACTOR = 2.0
+RECOVERED_CHANNEL_FACTOR = 1.5
 
 
 class ChannelCondition(Enum):
@@ -24,6 +32,20 @@
     SILENT = "silent"
     LATE = "late"
     LOSES_CONFIRMATIONS = "loses_confirmations"
+    SLOW = "slow"
+
+
+def is_slow(slowdown: float, was_slow: bool) -> bool:
+    """Return whether a channel that takes so many times the stated time counts as slow."""
+    return slowdown >= (RECOVERED_CHANNEL_FACTOR if was_slow else SLOW_CHANNEL_FACTOR)
+
+
+def describe_slowdown(slowdown: float, waiting: float, capacity: float) -> str:
+    """Return a text about a channel that has become slow; sizes are entries for each receiver."""
+    return (
+        f"channel: sends {slowdown:.1f} times slower than stated,"
+        f" {waiting:.1f} of {capacity:.1f} entries may wait"
+    )
 
 
 def describe_change(
--- a/lifthinge/decision_log.py
+++ b/lifthinge/decision_log.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from lifthinge.channel_budget import ChannelBudget
+from lifthinge.order_timing import MessageSlack
 
 # A line names this many backends at most.
 MAX_NAMES = 8
@@ -36,3 +37,25 @@
         f" {pending_count} orders pending, {budget.waiting_entries:.1f} of {budget.capacity:.1f}"
         " entries wait"
     )
+
+
+def describe_lateness(slack: MessageSlack, slowdown: float) -> str:
+    """Return which orders may come too late for their rule, and by how much; empty if none.
+
+    `slowdown` is by how many times the channel is slower than stated.
+
+    >>> from lifthinge.order_timing import OrderClass
+    >>> slack = MessageSlack({OrderClass.BARE_TABLE: -12.0, OrderClass.WITHDRAWAL: 3.0}, 17.0)
+    >>> describe_lateness(slack, 8.0)
+    'late: bare_table by 12.0 entries; the channel is 8.0 times slower than stated'
+    >>> describe_lateness(MessageSlack({OrderClass.WITHDRAWAL: 3.0}, 17.0), 8.0)
+    ''
+    """
+    late = [
+        f"{order_class.value} by {-entries:.1f} entries"
+        for order_class, entries in slack.by_class.items()
+        if entries < 0
+    ]
+    if not late:
+        return ""
+    return f"late: {', '.join(late)}; the channel is {slowdown:.1f} times slower than stated"
--- a/lifthinge/order_timing.py
+++ b/lifthinge/order_timing.py
@@ -72,6 +72,11 @@
     quiet_ms: float  # since the last push or confirmation
     is_heard: bool  # whether confirmations arrive one soon after the other
 
+    @property
+    def slowdown(self) -> float:
+        """Return by how many times the channel is slower than stated."""
+        return self.stated_pace / max(self.pace, 1e-9)
+
     @property
     def round_trip_entries(self) -> float:
         """Return what leaves the channel until it is known that something has left."""
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -19,8 +19,10 @@
     MIN_UNCONFIRMED_PACE_FRACTION,
     ChannelCondition,
     describe_change,
+    describe_slowdown,
+    is_slow,
 )
-from lifthinge.decision_log import describe_names, describe_shortage
+from lifthinge.decision_log import describe_lateness, describe_names, describe_shortage
 from lifthinge.delivery_evidence import DeliveryEvidence
 from lifthinge.doubtful_calls import ANSWER_TRANSIT_MULTIPLE, DoubtfulCalls
 from lifthinge.exposure import (
@@ -984,6 +986,7 @@
         """
         self._log_channel_condition()
         self._log_shortage()
+        self._log_lateness()
         for backend in self.backends:
             backend.outcomes.halve()
         median_ratio = self._median_latency_ratio()
@@ -1034,20 +1037,27 @@
     def _log_channel_condition(self) -> None:
         """Log whether messages are confirmed, if that has changed."""
         unanswered_ms = self.channel.unanswered_ms(self.now_ms)
+        budget = self._measure_budget()
+        slowdown = self._view_channel(budget).slowdown
         if self.channel.loses_confirmations:
             condition = ChannelCondition.LOSES_CONFIRMATIONS
         elif self._certain_pace():
             condition = ChannelCondition.LATE
         elif self._is_confirmation_overdue(unanswered_ms):
             condition = ChannelCondition.SILENT
+        elif is_slow(slowdown, self.channel_condition is ChannelCondition.SLOW):
+            condition = ChannelCondition.SLOW
         else:
             condition = ChannelCondition.CONFIRMED
         if condition is self.channel_condition:
             return
         self.channel_condition = condition
-        budget = self._measure_budget()
         late_ms = self.channel.lateness_ms if condition is ChannelCondition.LATE else unanswered_ms
-        text = describe_change(condition, late_ms, budget.waiting_entries, budget.capacity)
+        text = (
+            describe_slowdown(slowdown, budget.waiting_entries, budget.capacity)
+            if condition is ChannelCondition.SLOW
+            else describe_change(condition, late_ms, budget.waiting_entries, budget.capacity)
+        )
         self.other_orders.append(LogDecision(text))
 
     def _log_shortage(self) -> None:
@@ -1061,6 +1071,13 @@
             text = describe_shortage(withdrawn, bare_count, pending_count, self._measure_budget())
             self.other_orders.append(LogDecision(text))
 
+    def _log_lateness(self) -> None:
+        """Log which orders may come too late for the limits of their rules."""
+        view = self._view_channel(self._measure_budget())
+        text = describe_lateness(self.order_timing.measure_slack(view), view.slowdown)
+        if text:
+            self.other_orders.append(LogDecision(text))
+
     def _fill_started_backends(self, used_targets: dict) -> None:
         """Move a slice from the most crowded backend to each nearly empty backend seen to start.
 
@@ -1889,7 +1906,7 @@
         """Return whether joins have been gathered for long enough, as quick as the channel is."""
         view = self._view_channel(budget)
         gathering_ms = MAX_CONFIRMATION_WAIT_MS * JOIN_GATHERING_FRACTION
-        slowdown = min(view.stated_pace / max(view.pace, 1e-9), MAX_CHANNEL_SLOWDOWN_FACTOR)
+        slowdown = min(view.slowdown, MAX_CHANNEL_SLOWDOWN_FACTOR)
         return self.now_ms >= self.announce_withdrawals_at_ms + gathering_ms * (slowdown - 1)
 
     def _add_bare_tables(self, orders: list[Order], budget: ChannelBudget) -> bool:
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -320,7 +320,7 @@
     "Form": "delta full cached missed",
     "Outcome": "ok aborted pushed_back late unreachable broken",
     "Retry": "0 1 2 3",
-    "ChannelCondition": "confirmed silent late loses_confirmations",
+    "ChannelCondition": "confirmed silent late loses_confirmations slow",
     "OrderClass": "withdrawal missed_withdrawal bare_table readmission",
 }
 OUTER_HOLDERS = {  # number of slots
