Fix: repeats that press go before readmissions in the message that is due

Change: a ready backend that is withdrawn makes a message due, too; repeats that another message would make late then go into it first.

--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1599,7 +1599,11 @@
         orders: list[Order] = []
         self._add_withdrawals(orders, budget)
         budget.withdrawal_count = len(orders)
-        is_message_due = bool(orders) or any(map(self._is_bare, self.pending_slices))
+        is_message_due = (
+            bool(orders)
+            or any(map(self._is_bare, self.pending_slices))
+            or any(b.is_withdrawn and self._is_open(b) for b in self.backends)
+        )
         if budget.is_pressing(OrderClass.MISSED_WITHDRAWAL) and (
             is_message_due or self._has_gathered_joins(budget)
         ):
