Fix: a channel that stays silent is asked again even if it is rather full

With the first queue a silent channel was asked once, and then not before its messages count as gone, six times the queue's time later, even if confirmations were back.

Cause: asking was held to the room that bare tables might use, which a full queue never leaves: what waits can't be confirmed unless it is asked for.

Change: after twice the longest time without a confirmation the channel is asked again as long as a batch of withdrawals fits beside it. Until then asks leave the room to bare tables, which is what was for.

--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -189,6 +189,9 @@
 # Fraction of `MAX_CONFIRMATION_WAIT_MS` for which joins are gathered, before the proxies that
 # joined late are told of the withdrawals that they missed.
 JOIN_GATHERING_FRACTION = 0.25
+# After this multiple of the longest time without a confirmation a channel that asks again takes the
+# room of bare tables, which nothing else would give back to them.
+LONG_SILENCE_GAPS = 2.0
 # The channel may send this many times slower than its settings say. Older entries have left it.
 MAX_CHANNEL_SLOWDOWN_FACTOR = 6.0
 
@@ -1532,7 +1535,8 @@
         """Return whether a message that only asks for confirmations is due.
 
         Holds wait for confirmations themselves. Else it is sent where a silent channel leaves no
-        room for orders, as far as bare tables might use the channel.
+        room for orders: as far as bare tables might use the channel, and after a long silence as
+        long as a batch of withdrawals fits beside it.
         """
         if budget.room > 0 and self._is_hold_unconfirmed():
             return True
@@ -1545,6 +1549,9 @@
             return False
         # What is left of the room of `budget` is beside its reserves.
         present_budget = self._measure_budget()
+        silence_ms = self.channel.overdue_ms(self.now_ms)
+        if silence_ms > LONG_SILENCE_GAPS * self._longest_confirmation_gap_ms():
+            return present_budget.room > present_budget.batch_entries
         return present_budget.room > present_budget.withdrawal_reserve
 
     def _is_bare(self, slice_: Slice) -> bool:
