Fix: a confirmation that is repeated does not keep orders waiting

Need: orders wait while confirmations come one soon after the other. A relay that repeats the same confirmation again and again would have kept them waiting for as long as it does so, as each one counted.

Change: only a confirmation that tells something new keeps them waiting; a message has so many of them, so the wait is bounded.

Evidence: the doctest of Channel.standstill_ms; by reading, no play repeats confirmations.

--- a/lifthinge/channel.py
+++ b/lifthinge/channel.py
@@ -88,6 +88,7 @@
         "proven_entries_per_ms",
         "sent_entries",
         "left_at_push",
+        "last_progress_ms",
         "measured_pace",
         "pace_samples",
     )
@@ -108,6 +109,8 @@
         # last push.
         self.sent_entries = 0.0
         self.left_at_push = 0.0
+        # When a confirmation last told something new.
+        self.last_progress_ms = float("-inf")
         # The pace of late, in entries per ms for each receiver; infinite: too quick to be measured.
         self.measured_pace = INFINITY
         # Times, and what had left by then, at the confirmations of the last transit.
@@ -153,6 +156,8 @@
             return
         self.last_confirmation_ms = now_ms
         self.loses_confirmations = False
+        if receiver in self.messages[index].unconfirmed:
+            self.last_progress_ms = now_ms
         for message in islice(self.messages, index + 1):
             message.unconfirmed.pop(receiver, None)
             message.lost_receivers = min(message.lost_receivers, len(message.unconfirmed))
@@ -431,6 +436,18 @@
         """
         return now_ms - max(self.last_confirmation_ms, self.last_push_ms)
 
+    def standstill_ms(self, now_ms: float) -> float:
+        """Return for how long neither a message was sent nor one confirmed by a further receiver.
+
+        >>> channel = Channel()
+        >>> channel.record_sent(1, 10.0, "pq", 0.0)
+        >>> channel.record_confirmation(1, "p", 100.0, 0.0)
+        >>> channel.record_confirmation(1, "p", 300.0, 0.0)  # once more
+        >>> channel.standstill_ms(400.0), channel.overdue_ms(400.0)
+        (300.0, 100.0)
+        """
+        return now_ms - max(self.last_progress_ms, self.last_push_ms)
+
     def unanswered_ms(self, now_ms: float) -> float:
         """Return for how long no receiver has confirmed a message, although some were sent.
 
--- a/lifthinge/order_timing.py
+++ b/lifthinge/order_timing.py
@@ -69,7 +69,7 @@
     pace: float  # entries per ms, at most, by the last confirmations
     overhead: float  # of a message
     max_transit_ms: float
-    quiet_ms: float  # since the last push or confirmation
+    quiet_ms: float  # since the last push, or a confirmation that told something new
     is_heard: bool  # whether confirmations arrive one soon after the other
 
     @property
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1650,7 +1650,7 @@
     def _view_channel(self, budget: ChannelBudget) -> ChannelView:
         """Return what is known of the channel now."""
         stated_pace = self.settings.channel_entries_per_ms / self._receiver_count()
-        quiet_ms = self.channel.overdue_ms(self.now_ms)
+        quiet_ms = self.channel.standstill_ms(self.now_ms)
         return ChannelView(
             now_ms=self.now_ms,
             waiting_entries=budget.waiting_entries,
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -326,7 +326,7 @@
 OUTER_HOLDERS = {  # number of slots
     "Histogram": 2,
     "Lowest": 1,
-    "Channel": 12,
+    "Channel": 13,
     "ChannelMessage": 6,
     "DeliveryEvidence": 4,
     "WatchedWithdrawal": 4,
