--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,6 +23,7 @@
     check_store,
     soak_channel,
     soak_fleet,
+    soak_scarce_channel,
 )
 from tests.play.cluster import ClusterStage
 from tests.play.network import Network
@@ -104,6 +105,7 @@
     **{f"fleet {name}": check for name, check in check_scarce_channel.CHECKS.items()},
     "fleet soak": soak_fleet.check_soak,
     "fleet channel_soak": soak_channel.check_soak,
+    "fleet scarce_channel_soak": soak_scarce_channel.check_soak,
     **{f"processes {name}": check for name, check in check_processes.CHECKS.items()},
     **{f"members {name}": check for name, check in check_members.CHECKS.items()},
 }
