--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1897,7 +1897,9 @@
             return
         # To readmit a backend costs no more than to repeat that it is withdrawn.
         readmissible = [b for b in missed_withdrawals if self._may_readmit(b)]
-        budget.room -= room - (room := self._readmit(readmissible, room, orders))
+        room_before = room
+        room = self._readmit(readmissible, room, orders)
+        budget.room -= room_before - room
         missed_withdrawals = [
             b for b in missed_withdrawals if b.is_withdrawn and SetWithdrawn(b, True) not in orders
         ]
