--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 for file in review/standin2/*.py; do
     .venv/bin/python -m py_compile "$file"
 done
-.venv/bin/python -c 'import sys; sys.path.insert(0, "review"); import standin2.cluster'
+.venv/bin/python -c 'import sys; sys.path.insert(0, "review"); import standin2.cluster, standin2.platform'
