--- a/review/standin2/cluster.py
+++ b/review/standin2/cluster.py
@@ -278,6 +278,11 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def is_trouble() -> bool:
+    """Return whether the disruption is wanted: TROUBLE=0 leaves it out."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
 def run_case(folder: Path, play: Callable[[Record, bool], Awaitable[str]]) -> int:
     """Play a case; return the exit status that its script has.
 
@@ -285,7 +290,7 @@
     empty text if it held.
     """
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = is_trouble()
     record("trouble" if trouble else "without trouble")
     try:
         breach = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
