--- a/review/standin2/platform.py
+++ b/review/standin2/platform.py
@@ -21,6 +21,7 @@
 FIRST_BEAT_S = 0.2
 SYNC_S = (0.08, 0.5)  # a proxy's reading of the store
 MS = 1000.0
+ALL_SLICES = -1  # stands for all slices in levels
 
 
 def small_settings(
@@ -133,8 +134,9 @@
         return {name: weight for name, weight in table.items() if name not in self.out}
 
     def level(self, slice_: int, method: str) -> float:
-        """Return the level of a method in a slice."""
-        return self.levels.get((slice_, method), 1.0)
+        """Return the level of a method in a slice: the lower of its own and that of all slices."""
+        own = self.levels.get((slice_, method), 1.0)
+        return min(own, self.levels.get((ALL_SLICES, method), 1.0))
 
 
 class Platform:
@@ -442,12 +444,13 @@
                 if proxy.lost_at is not None:
                     proxy.lost_at = None
                     proxy.out = set(self.withdrawn)
+                fresh = {*slices, ALL_SLICES}
                 for slice_ in slices:
                     proxy.tables[slice_] = dict(self.store.get(slice_, {}))
-                    for key in [key for key in proxy.levels if key[0] == slice_]:
-                        del proxy.levels[key]
+                for key in [key for key in proxy.levels if key[0] in fresh]:
+                    del proxy.levels[key]
                 proxy.levels.update(
-                    {key: one for key, one in self.store_levels.items() if key[0] in slices}
+                    {key: one for key, one in self.store_levels.items() if key[0] in fresh}
                 )
 
         asyncio.get_running_loop().call_later(self.dice.uniform(*SYNC_S), read)
@@ -537,7 +540,7 @@
 ) -> None:
     group = order.get("group", "*")
     routes = order.get("routes", "*")
-    for slice_ in held if group == "*" else {group} & held:
+    for slice_ in {ALL_SLICES} if group == "*" else {group} & held:
         for method in methods if routes == "*" else routes:
             levels[slice_, method] = order["admit"]
 
