--- a/review/standin2/cluster.py
+++ b/review/standin2/cluster.py
@@ -58,14 +58,31 @@
         # Whether a dialler, known by its first frame, is cut off at present.
         self.is_cut: Callable[[Way], bool] = lambda way: False
         self.server: asyncio.Server | None = None
-        self.tasks: set[asyncio.Task] = set()
-
-    async def open(self) -> str:
-        """Listen, and return the address."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
+        self._listener: socket.socket | None = None
+        self._fillers: list[socket.socket] = []
+
+    async def open(self, out_of_reach: bool = False) -> str:
+        """Listen, and return the address; out of reach, connections to it never come up."""
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=0 if out_of_reach else 100)
+        self._listener.setblocking(False)
+        host, port = self._listener.getsockname()[:2]
+        if out_of_reach:
+            # A full queue: the system answers no further connection.
+            self._fillers = [socket.socket() for _ in range(3)]
+            for filler in self._fillers:
+                filler.setblocking(False)
+                filler.connect_ex((host, port))
+        else:
+            await self.come_up()
         return f"{host}:{port}"
 
+    async def come_up(self) -> None:
+        """Take connections from now on."""
+        for filler in self._fillers:
+            filler.close()
+        self._listener.listen(100)
+        self.server = await asyncio.start_server(self._serve, sock=self._listener)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.refuses:
             writer.transport.abort()
@@ -84,6 +101,9 @@
         """Stop listening and reset all connections."""
         if self.server is not None:
             self.server.close()
+        elif self._listener is not None:
+            for one in [*self._fillers, self._listener]:
+                one.close()
         for way in list(self.ways):
             way.end()
 
--- a/review/standin2/platform.py
+++ b/review/standin2/platform.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import secrets
 import signal
 import tempfile
 import time
@@ -215,7 +216,7 @@
             "name": self.name,
             "listen": self.listen,
             "discovery": self.discovery,
-            "seed": f"{self.dice.getrandbits(64):016x}",
+            "seed": secrets.token_hex(8),  # new with each start
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "distributor": {"address": self.relay},
             "known": listing,
