--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,7 +17,7 @@
 
 SERVERS, SLICES, PROXIES = 18, 72, 6
 ROUNDS, AT_A_TIME, ROUND_S = 5, 3, 7.5
-KILL_AFTER_S, START_AFTER_S, GONE_AFTER_S = 0.6, 0.3, 5.0
+KILL_AFTER_S, START_AFTER_S, GONE_AFTER_S = 0.4, 0.1, 5.0
 WRITES_PER_S = 110.0  # 230 RPCs a second, 48% of them writes
 WRITE_S = (0.2, 1.8)  # how long a backend has a write; at most 2.0 s (deadline) are allowed
 TENURE_S = 0.8
