--- a/review/standin2/cluster.py
+++ b/review/standin2/cluster.py
@@ -312,9 +312,15 @@
     record = Record(folder)
     trouble = is_trouble()
     record("trouble" if trouble else "without trouble")
+
+    async def run() -> str:
+        # A script that is ended still ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(play(record, trouble), 110)
+
     try:
-        breach = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
-    except (CaseNotRunError, TimeoutError, OSError) as error:
+        breach = asyncio.run(run())
+    except (CaseNotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record("NOT RUN:", repr(error))
         print(f"could not run: {error!r}")
         return NOT_RUN
