Fix: a part of a decision that raises loses no event and no order

What callers saw: `decision_failed`, and after it, for some raises, a drained backend that stayed in use, or tables that the controller took for set and that were not.

Cause: a turn that raised left behind what it had changed of the present state (withdrawn, tables, seals, calls to drop) without the orders that make it so, and the events behind the one that raised were forgotten.

Change: each event, the evaluation, the round and the orders are parts of their own. One that raises is reported as `DecisionFault` beside the orders; the others go on. Orders of a turn that can't give them count as those of a failed call, which are given anew: that was there already. At an event that raises, it and those behind it are taken in by the next decision, once; then it is dropped and said so. On sockets the next decision comes 50 ms later (it was a report interval), and `decision_failed` names the part and carries the trace. Captures are of form 7.

--- a/lifthinge/capture/against.py
+++ b/lifthinge/capture/against.py
@@ -13,13 +13,13 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from lifthinge.capture.turns import Replay
-from lifthinge.interface import Event, LogDecision, Order, SetTimer
+from lifthinge.capture.turns import EXPLANATIONS, Replay
+from lifthinge.interface import Event, Order, SetTimer
 from lifthinge.outer_names import outer_name
 
 POLICY_PATH = "lifthinge/policy.py"
 # Orders that change nothing outside the controller; they are not compared.
-INTERNAL_ORDERS = (LogDecision, SetTimer)
+INTERNAL_ORDERS = (*EXPLANATIONS, SetTimer)
 
 
 def load_policy_class(source: str) -> type | str:
--- a/lifthinge/capture/codec.py
+++ b/lifthinge/capture/codec.py
@@ -36,7 +36,7 @@
 from lifthinge.policy import Policy
 
 # Version of the plain values of a keyframe's state; no other version is read.
-FORMAT_VERSION = 6
+FORMAT_VERSION = 7
 # By tag: the type, the attribute that identifies an object, the attributes that the adapter sets.
 NUMBERED_TYPES: dict[str, tuple[type, str, tuple[str, ...]]] = {
     "b": (Backend, "backend_id", ("name", "is_withdrawn")),
--- a/lifthinge/capture/turns.py
+++ b/lifthinge/capture/turns.py
@@ -23,19 +23,22 @@
 from blake3 import blake3
 
 from lifthinge.capture.codec import CaptureFormatError, ValueCodec
-from lifthinge.interface import Event, LogDecision, Order, ProxyJoined
+from lifthinge.interface import DecisionFault, Event, LogDecision, Order, ProxyJoined
 from lifthinge.policy import Policy
 
+# Orders that explain others.
+EXPLANATIONS = (LogDecision, DecisionFault)
 _encode = msgspec.msgpack.Encoder().encode
 
 
 def digest_of(codec: ValueCodec, orders: list[Order]) -> bytes:
     """Return the digest of a list of orders, 16 bytes.
 
-    `LogDecision` is left out: it explains the other orders, and its text contains backend names.
+    `LogDecision` and `DecisionFault` are left out: they explain the other orders, and their texts
+    contain backend names and places in the code.
     """
     return blake3(
-        _encode([codec.encode(order) for order in orders if type(order) is not LogDecision])
+        _encode([codec.encode(order) for order in orders if type(order) not in EXPLANATIONS])
     ).digest(length=16)
 
 
--- a/lifthinge/interface.py
+++ b/lifthinge/interface.py
@@ -436,6 +436,19 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class DecisionFault:
+    """Report that a part of this decision raised an exception.
+
+    No event and no order is lost: what the part was about is done in a later decision, which an
+    adapter asks for soon.
+    """
+
+    part: str
+    error: str  # type and message of the exception, and the place that raised it
+    trace: str
+
+
 @dataclass(frozen=True, slots=True)
 class FollowFleetList:
     """Start or stop following the fleet list."""
@@ -488,6 +501,7 @@
     | Probe
     | SendToPeers
     | LogDecision
+    | DecisionFault
     | FollowFleetList
     | FetchFleetList
     | RepeatCall
--- a/lifthinge/lab/capturebench.py
+++ b/lifthinge/lab/capturebench.py
@@ -18,6 +18,7 @@
 from lifthinge.interface import (
     AttemptReport,
     Backend,
+    DecisionFault,
     Event,
     FleetNews,
     FleetNewsKind,
@@ -122,6 +123,8 @@
         told += len(events)
         began, used = time.perf_counter(), time.process_time()
         orders = decider.decide(now, events)
+        if any(isinstance(order, DecisionFault) for order in orders):
+            raise RuntimeError("a part of the decision raised")
         waits.append((time.perf_counter() - began) * 1000.0)
         cpu += time.process_time() - used
         events = load.turn(orders)
--- a/lifthinge/lab/fleetworld.py
+++ b/lifthinge/lab/fleetworld.py
@@ -23,6 +23,7 @@
     AttemptReport,
     Backend,
     ClearTable,
+    DecisionFault,
     Event,
     FleetNews,
     FleetNewsKind,
@@ -304,6 +305,8 @@
                 self._call_later(order.delay_ms, TimerDue(order.handle))
             elif isinstance(order, LogDecision):
                 self.decided.append(order.text)
+            elif isinstance(order, DecisionFault):
+                raise RuntimeError(order.trace)
         seals = [order.number for order in orders if isinstance(order, Seal)]
         if seals:
             self._send(orders, seals[0])
--- a/lifthinge/outer_names.py
+++ b/lifthinge/outer_names.py
@@ -99,6 +99,7 @@
     "Probe": _kind(interface.Probe, "backend"),
     "TellPeers": _kind(interface.SendToPeers, "peer content"),
     "Say": _kind(interface.LogDecision, "text"),
+    "Fault": _kind(interface.DecisionFault, "part error trace"),
     "FollowList": _kind(interface.FollowFleetList, "on=enabled"),
     "FetchList": _kind(interface.FetchFleetList, ""),
     "RepeatCall": _kind(interface.RepeatCall, "seal"),
@@ -158,6 +159,7 @@
     " doubtful=doubtful_calls holds=write_holds left_at=last_proxy_left_ms"
     " departed_at=last_departure_ms list_at=last_list_at_ms condition=channel_condition"
     " evidence=delivery_evidence broad_at=broad_trouble_at_ms timing=order_timing"
+    " deferred=deferred_events"
 )
 _OUTER_NAMES: dict[type, str] = {
     **{kind.type: name for name, kind in KINDS.items()},
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -23,6 +23,7 @@
     describe_slowdown,
     is_slow,
 )
+from lifthinge.decision_faults import event_part, report_fault
 from lifthinge.decision_log import describe_lateness, describe_names, describe_shortage
 from lifthinge.delivery_evidence import DeliveryEvidence
 from lifthinge.doubtful_calls import ANSWER_TRANSIT_MULTIPLE, DoubtfulCalls
@@ -318,6 +319,8 @@
         self.other_orders: list[Order] = []
         # Slices with pending orders, the most important first.
         self.pending_slices: list[Slice] = []
+        # Events of the last batch from the one on that could not be taken in.
+        self.deferred_events: list[Event] = []
         if not settings.sliced:
             self.slices[Slice(0, is_leased=True)] = None
 
@@ -325,15 +328,61 @@
         """Take in the events of one batch and return the orders that follow, in their order."""
         self.now_ms = now_ms
         self.other_orders = []
-        for event in events:
-            self.event_handlers.get(type(event), lambda _: None)(event)
+        if not self._take_in(events):
+            return self.other_orders
         if now_ms >= self.next_evaluation_ms:
             self.next_evaluation_ms = now_ms + self.settings.report_interval_ms
-            self._evaluate_reports()
+            self._run_part("evaluation", self._evaluate_reports)
         if now_ms >= self.next_round_ms:
             self.next_round_ms = now_ms + ROUND_INTERVAL_MS
-            self._run_round()
-        return self._emit_orders() + self.other_orders
+            self._run_part("round", self._run_round)
+        former_seal = self.last_seal
+        orders: list[Order] = []
+        if not self._run_part("orders", lambda: self._emit_orders(orders)):
+            self._withhold(orders, former_seal)
+            orders = self._due_requests()
+        return orders + self.other_orders
+
+    # Parts that raise
+
+    def _run_part(self, part: str, run: Callable[[], None]) -> bool:
+        """Run a part of a decision; report its exception, and return whether there was none.
+
+        What it was to change may have been changed in part, so the tables are planned anew.
+        """
+        try:
+            run()
+        except Exception as error:
+            self.other_orders.append(report_fault(part, error))
+            self.needs_planning = True
+            return False
+        return True
+
+    def _take_in(self, events: Iterable[Event]) -> bool:
+        """Take in the events deferred by the last decision and those of a batch, in their order.
+
+        At one that raises, it and all after it are deferred, as they may rest on it. One that
+        raises again is dropped. Return whether none was deferred.
+        """
+        was_deferred = bool(self.deferred_events)
+        pending = [*self.deferred_events, *events]
+        self.deferred_events = []
+        for index, event in enumerate(pending):
+            handler = self.event_handlers.get(type(event), lambda _: None)
+            if self._run_part(event_part(event), lambda: handler(event)):  # noqa: B023
+                continue
+            if index > 0 or not was_deferred:
+                self.deferred_events = pending[index:]
+                return False
+            text = f"dropped {type(event).__name__}: it could not be taken in twice"
+            self.other_orders.append(LogDecision(text))
+        return True
+
+    def _withhold(self, orders: list[Order], former_seal: int) -> None:
+        """Have orders given anew that this decision can't give, as if their call had failed."""
+        if self.last_seal != former_seal:
+            self.channel.drop_message(self.last_seal, self.now_ms)
+        self._give_anew(orders, 0)
 
     # Event handlers
 
@@ -1600,8 +1649,8 @@
             or self.channel.unconfirmed_receivers() <= MAX_UNCONFIRMED_FRACTION * len(self.proxies)
         ) and (len(self.channel.push_times_ms) < (1.0 - URGENT_RESERVE_FRACTION) * max_pushes)
 
-    def _emit_orders(self) -> list[Order]:
-        """Return the orders that bring the present state to the desired one, within the channel.
+    def _emit_orders(self, orders: list[Order]) -> None:
+        """Append the orders that bring the present state to the desired one, within the channel.
 
         Withdrawals, and tables without an active entry, are sent at once and may use a reserve of
         the channel. All other orders wait until enough proxies have confirmed the push before, or
@@ -1616,9 +1665,9 @@
         budget = self._measure_budget()
         if self._must_wait(budget):
             self._complete_moves()
-            return self._due_requests()
+            orders += self._due_requests()
+            return
         budget.room *= self.channel_state.is_free
-        orders: list[Order] = []
         self._add_withdrawals(orders, budget)
         budget.withdrawal_count = len(orders)
         is_message_due = (
@@ -1646,7 +1695,7 @@
         if orders or self._must_ask_again(budget):
             orders.append(self._seal_message(orders))
         self._complete_moves()
-        return orders + self._due_requests()
+        orders += self._due_requests()
 
     def _must_wait(self, budget: ChannelBudget) -> bool:
         """Return whether all orders wait for the messages under way; note since when they do."""
@@ -1845,8 +1894,12 @@
         """Drop a failed call: its orders are unsettled, and are given again as there is room."""
         self.other_orders.append(DropCall(seal))
         self.channel_state = ChannelState(True)
-        self.unsettled_orders.add(self.last_call_orders, seal)
-        for order in self.last_call_orders:
+        self._give_anew(self.last_call_orders, seal)
+
+    def _give_anew(self, orders: list[Order], seal: int) -> None:
+        """Have orders given again as there is room; those of the call with this seal, if not 0."""
+        self.unsettled_orders.add(orders, seal)
+        for order in orders:
             if isinstance(order, BindProxy):
                 order.proxy.is_bound = False
             elif isinstance(order, SetAdmissionLevel) and order.slice is None:
@@ -1875,8 +1928,8 @@
             if budget.room > required_room:
                 if must_withdraw:
                     self._note_shift(backend)
-                    backend.is_withdrawn = True
                     withdrawn.append(f"{backend.name} ({self._withdrawal_reason(backend)})")
+                    backend.is_withdrawn = True
                 orders.append(SetWithdrawn(backend, backend.is_withdrawn))
                 self.needs_planning = True
                 budget.room -= 1
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import replace
 from typing import Any, Protocol
 
+from lifthinge.decision_faults import report_fault
 from lifthinge.interface import (
     ChannelState,
+    DecisionFault,
     DropCall,
     Event,
     FetchFleetList,
@@ -49,6 +52,7 @@
 
 log = logging.getLogger(__name__)
 TASK_RESTART_DELAY_MS = 250.0  # until a background task that failed is started again
+DECISION_RETRY_DELAY_MS = 50.0  # after a part of a decision raised
 # After the start; then the controller decides by the fleet list in its configuration.
 MAX_DISCOVERY_WAIT_MS = 1_000.0
 MAX_INBOUND_FRACTION_OF_SOCKETS = 0.5  # of the configured sockets
@@ -144,6 +148,8 @@
         self._is_discovery_overdue = False  # whether MAX_DISCOVERY_WAIT_MS have passed
         self._is_turn_scheduled = False
         self._events: list[Event] = []
+        # Events of the last decision, if it failed as a whole.
+        self._deferred_events: list[Event] = []
         self._tasks: dict[asyncio.Task, str] = {}  # task -> its name
         # Order type -> what carries it out, for all orders but those to the relay.
         self._order_handlers: dict[type, Callable[[Any], None]] = {
@@ -155,6 +161,7 @@
             RepeatCall: lambda order: self.relay.allow_repeat(order.seal),
             DropCall: lambda order: self.relay.drop_call(order.seal),
             LogDecision: self._log_decision,
+            DecisionFault: self._on_decision_fault,
             FollowFleetList: lambda order: self._set_list_watch(order.enabled),
             ForgetBackend: lambda order: self.registry.forget(order.backend),
             FetchFleetList: lambda order: self._start_task("fetch", self.discovery.fetch_list),
@@ -313,6 +320,30 @@
         kind = order.text.partition(" ")[0].rstrip(":")
         self.runtime.counters.add(f"decided.{kind}")
 
+    def _on_decision_fault(self, fault: DecisionFault) -> None:
+        """Log what raised, and have it decided again soon.
+
+        Until a decision succeeds heartbeats are left unanswered, which shows those who send them
+        that this controller is not well.
+        """
+        log.error(
+            "decision_failed", {"part": fault.part, "error": fault.error, "trace": fault.trace}
+        )
+        self.runtime.counters.add("decision_failed")
+        self.is_ready = False
+        self.runtime.deadlines.schedule(DECISION_RETRY_DELAY_MS, lambda: self.publish([]))
+
+    def _defer(self, events: list[Event]) -> None:
+        """Keep the events of a decision that failed as a whole for the next one.
+
+        Those that were in an earlier one, too, are dropped.
+        """
+        if self._deferred_events:
+            kinds = Counter(outer_name(type(event)) for event in self._deferred_events)
+            log.error("events_dropped", dict(kinds))
+            self.runtime.counters.add("events_dropped", len(self._deferred_events))
+        self._deferred_events = events
+
     def _run_turn(self) -> None:
         """Have queued events decided on, carry out the orders, and check whether it is ready."""
         events = self._events
@@ -326,17 +357,14 @@
             self.relay.unsent_seal,
         )
         try:
-            orders = self.policy.decide(began_at_ms, [channel_state, *events])
-        except Exception as error:
-            # The next decision may succeed; until then heartbeats are left unanswered, which shows
-            # those who send them that this controller is not well.
-            log.error("decision_failed", {"error": repr(error)}, exc_info=True)
-            self.runtime.counters.add("decision_failed")
-            self.is_ready = False
-            self.runtime.deadlines.schedule(
-                self.config.terms.report_interval_ms, lambda: self.publish([])
+            orders = self.policy.decide(
+                began_at_ms, [channel_state, *self._deferred_events, *events]
             )
+        except Exception as error:
+            self._on_decision_fault(report_fault("turn", error))
+            self._defer(events)
             return
+        self._deferred_events = []
         self.runtime.counters.add("decisions")
         self.runtime.counters.record_max(
             "decision.longest_ms", round(self.runtime.now - began_at_ms, 1)
@@ -355,7 +383,9 @@
             or self._is_discovery_overdue
             or self.config.site.news_on_request
         )
-        if not self.is_ready and self.relay_watch.has_initial_state and has_fleet_list:
+        has_failed = any(isinstance(order, DecisionFault) for order in orders)
+        is_informed = self.relay_watch.has_initial_state and has_fleet_list
+        if not self.is_ready and is_informed and not has_failed:
             self.is_ready = True
             log.info(
                 "ready",
--- a/lifthinge/wirehost/__main__.py
+++ b/lifthinge/wirehost/__main__.py
@@ -1,10 +1,10 @@
 """The loop: reads batches from standard input, lets the instances decide, writes one reply to each."""
 
 import sys
-import traceback
 from typing import BinaryIO
 
-from lifthinge.interface import Event, ForgetBackend
+from lifthinge.decision_faults import report_fault
+from lifthinge.interface import DecisionFault, Event, ForgetBackend
 from lifthinge.policy import Policy
 from lifthinge.settings import MS_PER_S
 from lifthinge.wirehost.codec import BadFrame, pack_record, pack_reply, read_batch, read_frame
@@ -52,16 +52,17 @@
     def _decide(self, instance: int, now: float, events: list[Event]) -> list[bytes]:
         door, policy = self.instances[instance]
         try:
-            return [
-                door.pack(order)
-                for order in policy.decide(now, events)
-                if not isinstance(order, ForgetBackend)
-            ]
+            orders = policy.decide(now, events)
+            faults = [order for order in orders if isinstance(order, DecisionFault)]
+            if not faults:
+                return [
+                    door.pack(order) for order in orders if not isinstance(order, ForgetBackend)
+                ]
         except Exception as error:  # whatever it is, the wire wants it reported
-            traceback.print_exc(file=sys.stderr)
-            where = traceback.extract_tb(error.__traceback__)[-1]
-            cause = f"{type(error).__name__}: {error} ({where.name}, line {where.lineno})"
-            return [pack_record("Fault", instance, cause.encode()[:400])]
+            faults = [report_fault("turn", error)]
+        for fault in faults:
+            print(fault.trace, file=sys.stderr)
+        return [pack_record("Fault", instance, fault.error.encode()[:400]) for fault in faults]
 
 
 def main(source: BinaryIO, sink: BinaryIO) -> int:
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -302,6 +302,7 @@
     "Probe": "backend",
     "TellPeers": "peer content",
     "Say": "text",
+    "Fault": "part error trace",
     "FollowList": "on",
     "FetchList": "",
     "RepeatCall": "seal",
@@ -342,7 +343,7 @@
     "dice soft ranks by_hand shares backends slices proxies dirty levels_due now fold_at round_at"
     " wake_at cool_until plan_worst follow_at untold untold_at joined_at horizon spans"
     " usual good fair stress let plan seal channel way said owed call unsettled doubtful holds"
-    " left_at departed_at list_at condition evidence broad_at timing"
+    " left_at departed_at list_at condition evidence broad_at timing deferred"
 )
 
 
@@ -363,7 +364,7 @@
     played.run((HERE / "scenarios" / "violator.txt").read_text())
     frame = next(record for record in reversed(played.records[0]) if record[0] == "k")
     _, terms, _, (form, own, objects) = frame
-    assert form == 6 and terms[:2] == ["o", "SiteTerms"] and " ".join(own) == OUTER_STATE
+    assert form == 7 and terms[:2] == ["o", "SiteTerms"] and " ".join(own) == OUTER_STATE
     assert own["channel"][:2] == ["h", "Channel"] and own["way"][:2] == ["o", "ChannelState"]
     assert {one[0]: len(one) - 2 for one in objects} == OUTER_OBJECTS
     backend = next(one for one in objects if one[0] == "b")
--- a/tests/check_decisions.py
+++ b/tests/check_decisions.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from copy import deepcopy
 from dataclasses import replace
+from itertools import product
 from pathlib import Path
 
 from lifthinge.interface import (
@@ -27,7 +28,7 @@
     StoredEntry,
 )
 from lifthinge.policy import Policy
-from tests.play.stage import TERMS
+from tests.play.stage import TERMS, Stage
 
 ROOT = Path(__file__).parent.parent
 BACKENDS, SLICES, PROXIES = 12, 48, 6
@@ -138,6 +139,87 @@
     assert checked.returncode == 0, checked.stdout + checked.stderr
 
 
+# Texts of `tests.play.stage`: what leads up to a change of the fleet; the change; what becomes of its call, if one was made;
+# and what follows until all has settled.
+RAISING_PLAYS = (
+    ("fleet a b c d; join 1 2 3; given 1 a:1 b:0.001; given 2 b:1 a:0.001; given 3 c:1; heat 1 90; heat 2 50;"
+     "heard a 40 0 100; heard b 40 0 100; heard c 40 0 100; heard d 40 0 100",
+     "list a draining", "", "join 4; at 13500; list a gone; leave 2; at 18000"),
+    ("terms one_owner=1; fleet a b c d; join 1 2 3; given 1 a:1; given 2 b:1; given 3 c:1",
+     "list a draining", "", "join 4; at 13500; list a gone; at 18000"),
+    ("fleet a b c d; join 1 2 3; given 1 a:1 b:0.001; given 2 b:1 a:0.001; given 3 c:1",
+     "list a draining", "channel held; lost; at 12200; channel unknown", "at 13500; list b draining; at 18000"),
+)  # fmt: skip
+DISTURBED_CALLS = (1, 3)
+
+
+class RaisedOnce:
+    """Makes one method of an instance raise in one of its calls: before it runs, or after."""
+
+    def __init__(self, policy: Policy, name: str, call: int, is_after: bool) -> None:
+        self.method, self.calls_left, self.is_after = getattr(policy, name), call, is_after
+        setattr(policy, name, self)
+
+    def __call__(self, *arguments: object) -> object:
+        self.calls_left -= 1
+        if self.calls_left == 0 and not self.is_after:
+            raise ArithmeticError("before")
+        result = self.method(*arguments)
+        if self.calls_left == 0:
+            raise ArithmeticError("after")
+        return result
+
+
+def _play_raising(play: tuple[str, str, str, str], name: str, call: int, is_after: bool) -> Stage:
+    """Play a text with one call of a method that raises, from the change of the fleet on."""
+    before, change, loss, after = play
+    stage = Stage()
+    stage.may_raise = stage.is_lossy = True
+    stage.run(f"{before}; at 12000")
+    former_seal = stage.sealed
+    RaisedOnce(stage.policy, name, call, is_after)
+    stage.run(change)
+    if stage.sealed != former_seal:
+        stage.run(loss)
+    stage.run(after)
+    return stage
+
+
+def _check_nothing_lost(stage: Stage) -> None:
+    """What the decisions take for present is present, and nobody is sent to who left."""
+    believed = {b for b in stage.policy.backends if b.is_withdrawn}
+    assert stage.out - stage.forgotten == believed, "withdrawals"
+    assert stage.name(Backend, "a") in stage.out, "a withdrawal was lost"
+    for slice_ in stage.policy.slices:
+        assert slice_.table == stage.tables[slice_], f"table of slice {slice_.number}"
+        assert any(b not in stage.out for b in slice_.table), f"slice {slice_.number} is bare"
+        assert stage.levels.get((slice_, 1), 1.0) > 0, f"writes of slice {slice_.number} are held"
+    assert not stage.policy.deferred_events, "events wait"
+
+
+# A part of a decision raised: the events after it, and the orders of its turn, never came to the proxies.
+def check_part_that_raises_loses_nothing() -> None:
+    raised = 0
+    names = [name for name, one in vars(Policy).items() if callable(one) and name[:2] != "__"]
+    for play in RAISING_PLAYS:
+        for name in names:
+            if name in ("decide", "_run_part", "_take_in", "_withhold", "_give_anew"):
+                continue
+            for call, is_after in product(DISTURBED_CALLS, (False, True)):
+                stage = _play_raising(play, name, call, is_after)
+                raised += len(stage.faults)
+                if not stage.faults:
+                    break
+                try:
+                    _check_nothing_lost(stage)
+                except AssertionError as error:
+                    when = "after" if is_after else "before"
+                    raise AssertionError(
+                        f"{name}, call {call}, {when}, {play[1]}: {error}"
+                    ) from None
+    assert raised > 100, raised
+
+
 CHECKS: dict[str, Callable[[], None]] = {
     name[6:]: check for name, check in globals().items() if name.startswith("check_")
 }
--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -40,6 +40,7 @@
     BindProxy,
     ChannelState,
     ClearTable,
+    DecisionFault,
     DropCall,
     FleetNews,
     FleetNewsKind,
@@ -116,6 +117,8 @@
         self.before: dict = {}  # what stood before the last call
         self.call: list = []  # its orders
         self.is_lossy = False  # whether a call was lost
+        self.faults: list[DecisionFault] = []
+        self.may_raise = False  # whether parts of a decision may raise
         self.bare_since: dict[Slice, float] = {}
         self.told: dict[Proxy, set[Backend]] = {}  # withdrawn backends, as far as a proxy was told
 
@@ -131,6 +134,8 @@
             self.policy = Policy(self.terms, 7)
         lines, marks = 0, []
         orders = self.policy.decide(self.now, [self.state, *events] if self.state else events)
+        self.faults += [order for order in orders if isinstance(order, DecisionFault)]
+        assert self.may_raise or not self.faults, self.faults[0].trace
         if any(isinstance(order, Seal) for order in orders):
             self.before = {
                 "tables": {slice_: dict(table) for slice_, table in self.tables.items()},
