Fix: a restart amid a hand-over leaves no second owner with writes of a slice

Cause: the new owner stood in the store from the first message on, and what kept writes from it was a level, which a restart voids. The initial state that is taken over late, and the departure that another instance may not know of, only lengthen the window; with both mended proxies still read the store before any order can reach them.

Change: the store names nobody unless that one alone may have writes. First the level of the writes is 0 while reads go on at the former owner, then the table is cleared with the withdrawal, then the new owner is named, once the clearing is confirmed and the writes are over. A slice given with an empty table is held, one with an entry is served: the rule "held within 10 s of a departure" is gone. The orders of a hold were given twice in a message; now once. `hold` lines tell each step, who owns next, whom it waits for and why it ended.

--- a/lifthinge/decision_log.py
+++ b/lifthinge/decision_log.py
@@ -1,6 +1,7 @@
 """Texts that explain decisions on withdrawals, and what keeps backends and tables out of use."""
 
 from collections.abc import Sequence
+from enum import Enum
 
 from lifthinge.channel_budget import ChannelBudget
 from lifthinge.order_timing import MessageSlack
@@ -9,6 +10,24 @@
 MAX_NAMES = 8
 
 
+class HoldChange(Enum):
+    """What a message does in a hand-over between single owners, in the order of its steps."""
+
+    KEPT = "writes are refused, reads go on"
+    CLEARED = "the table is cleared"
+    ENDED = "the new owner is named"
+
+
+def describe_hold(change: HoldChange, slices: Sequence[int], owner: str) -> str:
+    """Return the slices of a step of a hand-over, and who is to own them after it.
+
+    >>> describe_hold(HoldChange.CLEARED, [4, 7], "s-b")
+    'hold of slices 4, 7 for s-b: the table is cleared'
+    """
+    numbers = describe_names([str(number) for number in slices])
+    return f"hold of slices {numbers} for {owner}: {change.value}"
+
+
 def describe_names(names: Sequence[str]) -> str:
     """Return names in a row, the last ones as a number if they are many.
 
--- a/lifthinge/outer_names.py
+++ b/lifthinge/outer_names.py
@@ -157,7 +157,7 @@
     " plan=running_moves seal=last_seal channel way=channel_state said=other_orders"
     " owed=pending_slices call=last_call_orders unsettled=unsettled_orders"
     " doubtful=doubtful_calls holds=write_holds left_at=last_proxy_left_ms"
-    " departed_at=last_departure_ms list_at=last_list_at_ms condition=channel_condition"
+    " granted_at=last_grant_ms list_at=last_list_at_ms condition=channel_condition"
     " evidence=delivery_evidence broad_at=broad_trouble_at_ms timing=order_timing"
     " deferred=deferred_events"
 )
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -24,7 +24,13 @@
     is_slow,
 )
 from lifthinge.decision_faults import event_part, report_fault
-from lifthinge.decision_log import describe_lateness, describe_names, describe_shortage
+from lifthinge.decision_log import (
+    HoldChange,
+    describe_hold,
+    describe_lateness,
+    describe_names,
+    describe_shortage,
+)
 from lifthinge.delivery_evidence import DeliveryEvidence
 from lifthinge.doubtful_calls import ANSWER_TRANSIT_MULTIPLE, DoubtfulCalls
 from lifthinge.exposure import (
@@ -77,7 +83,7 @@
     share_if_active,
 )
 from lifthinge.unsettled_orders import UnsettledOrders
-from lifthinge.write_holds import MAX_HANDOVER_MS, MAX_SEAL, WriteHold
+from lifthinge.write_holds import MAX_SEAL, WriteHold
 
 # Placement mechanism, as the design page specifies it
 
@@ -200,6 +206,11 @@
 # The channel may send this many times slower than its settings say. Older entries have left it.
 MAX_CHANNEL_SLOWDOWN_FACTOR = 6.0
 
+# Hand-over between single owners
+
+# Messages of a hand-over: writes are refused, the table is cleared, the new owner is named.
+HAND_OVER_MESSAGES = 3
+
 # Admission. Stress is the mean latency as a fraction of the shortest soft deadline.
 
 # Number of steps of an admission level. Each change of a level costs an entry for each slice.
@@ -313,8 +324,8 @@
         self.last_proxy_left_ms = -INFINITY
         # When so many backends last failed that none was ejected.
         self.broad_trouble_at_ms = -INFINITY
-        # When a backend was last seen to leave.
-        self.last_departure_ms = -INFINITY
+        # When a slice was last granted.
+        self.last_grant_ms = -INFINITY
         # Orders of this batch besides those of `_emit_orders`.
         self.other_orders: list[Order] = []
         # Slices with pending orders, the most important first.
@@ -472,7 +483,8 @@
             self.methods_by_criticality = grouped_methods
             self.admission_reset_due = True
             for slice_ in self.slices:
-                slice_.admission_levels = (1.0, 1.0)
+                if slice_ not in self.write_holds:
+                    slice_.admission_levels = (1.0, 1.0)
         self._update_phases()
 
     def _update_phases(self) -> None:
@@ -495,12 +507,7 @@
                 and backend in self.out_of_service
                 and backend.listed_phase is Phase.READY
             )
-            former_phase = backend.phase
             backend.phase = Phase.DRAINING if is_overridden else backend.listed_phase
-            if backend.phase is Phase.DRAINING is not former_phase or (
-                former_phase is Phase.READY is not backend.phase
-            ):
-                self.last_departure_ms = self.now_ms
             backend.size = backend.listed_size * self.zone_shares.get(backend.zone, 1.0)
         if self.out_of_service and not overrides_apply:
             self.other_orders.append(
@@ -524,7 +531,8 @@
         if not self.channel_state.is_free:
             # It reads the store, where the call that is under way may not be carried out yet.
             for hold in self.write_holds.values():
-                hold.record_joined(event.proxy)
+                if hold.seal == self.last_seal:
+                    hold.record_joined(event.proxy)
         self._schedule_announcement(b for b in self.backends if b.is_withdrawn)
 
     def _on_proxy_left(self, event: ProxyLeft) -> None:
@@ -584,7 +592,7 @@
         heat, if that is more. The first rate of a slice is not limited.
         """
         slice_ = report.slice
-        if slice_ not in self.write_holds or report.method not in self.settings.write_methods:
+        if slice_ not in self.write_holds:
             level = slice_.admission_levels[report.method in self.methods_by_criticality[1]]
             slice_.admitted_rpcs += report.rpcs * level
         total_heat = sum(s.heat for s in self.slices)
@@ -616,16 +624,14 @@
         self.last_call_orders = [
             order for order in self.last_call_orders if _slice_of(order) is not slice_
         ]
-        was_held = self.write_holds.pop(slice_, None) is not None
+        if self.write_holds.pop(slice_, None):
+            change = "given anew" if event.is_granted else "taken away"
+            text = f"hold of slice {slice_.number} ended: it was {change}"
+            self.other_orders.append(LogDecision(text))
         if event.is_granted:
             self.slices[slice_] = None
             self.admission_reset_due = True
-            # Its instance may have been handing it over; the level that held its writes is void.
-            # Where levels are silent its table would be empty.
-            if not self._clears_tables() and (
-                was_held or self.now_ms - self.last_departure_ms < MAX_HANDOVER_MS
-            ):
-                self._hold_writes(slice_)
+            self.last_grant_ms = self.now_ms
         self.needs_planning = True
 
     def _on_stored_entry(self, event: StoredEntry) -> None:
@@ -1314,6 +1320,7 @@
         # If no ready backend is usable, ejected ones are used: they are better than none.
         for backend in usable_backends:
             backend.ejected_until_ms = min(backend.ejected_until_ms, self.now_ms)
+        self._restore_owners()
         for slice_ in sorted(
             (s for s in self.slices if s.owner is None or s.owner.phase is not Phase.READY),
             key=lambda s: -s.heat,
@@ -1327,6 +1334,15 @@
             if slice_.owner is not None:
                 slice_.desired_shares = self._desired_shares(slice_, slice_.owner, warm_backends)
 
+    def _restore_owners(self) -> None:
+        """Give held slices back to former owners that are ready again and still in the tables."""
+        for slice_ in list(self.write_holds):
+            for backend in slice_.table:
+                is_back = backend.phase is Phase.READY and not backend.is_withdrawn
+                if is_back and slice_.owner is not backend:
+                    slice_.owner = backend
+                    self._release_writes(slice_)
+
     def _desired_shares(
         self, slice_: Slice, owner: Backend, warm_backends: list[Backend]
     ) -> dict[Backend, float]:
@@ -1518,74 +1534,146 @@
     def _changes_owner(self, slice_: Slice, entries: list[SetEntry]) -> bool:
         """Return whether entries hand a slice from one single owner to another.
 
-        A table that is cleared in a hand-over is empty.
+        An empty table may be one that another instance has cleared in a hand-over.
         """
-        return (
-            self.settings.has_single_owner
-            and (bool(slice_.table) or self._clears_tables())
-            and any(entry.backend not in slice_.table for entry in entries)
+        return self.settings.has_single_owner and any(
+            entry.backend not in slice_.table for entry in entries
         )
 
-    def _clears_tables(self) -> bool:
-        """Return whether a hand-over clears the table, as the site's levels have no effect."""
-        return self.settings.admission_mode == "silent"
+    def _levels_act(self) -> bool:
+        """Return whether the site's levels have an effect."""
+        return self.settings.admission_mode != "silent"
 
     def _hold_writes(self, slice_: Slice) -> None:
-        """Refuse the writes of a slice until the former owner has surely finished its own.
-
-        This is done by their level, so that reads go on and the slice is never without an entry, or
-        by clearing its table where the site's levels have no effect.
-        """
+        """Keep the writes of a slice from all backends until the former owner's are surely done."""
         if self.settings.has_single_owner and self.settings.write_methods:
-            self.write_holds.setdefault(slice_, WriteHold())
+            hold = self.write_holds.get(slice_)
+            if hold is None or hold.is_ended:
+                self.write_holds[slice_] = WriteHold(started_at_ms=self.now_ms)
+
+    def _release_writes(self, slice_: Slice) -> None:
+        """End the hold of a slice whose former owner is ready again and keeps it."""
+        del self.write_holds[slice_]
+        self.unsettled_orders.add_levels(slice_)
+        text = f"hold of slice {slice_.number} ended: its owner is ready again"
+        self.other_orders.append(LogDecision(text))
 
     def _last_write_ms(self) -> float:
-        """Return when a proxy that has left may last have sent a write by its tables."""
-        return self.last_proxy_left_ms + self.settings.write_lease_ms
+        """Return when a proxy that has not joined may last have sent a write by its tables."""
+        return max(self.last_proxy_left_ms, self.last_grant_ms) + self.settings.write_lease_ms
 
     def _end_holds(self) -> None:
-        """End the holds that are over; the levels of their slices are then set anew."""
-        for slice_, hold in list(self.write_holds.items()):
-            if not hold.is_over(self.now_ms, self.settings.max_write_ms):
-                continue
-            self.needs_planning = True
-            if not self._clears_tables():
-                del self.write_holds[slice_]
-                self.unsettled_orders.add_levels(slice_)
+        """Have the new owners named where holds are over, and tables cleared where writes are."""
+        for slice_ in self.write_holds:
+            if self._are_writes_over(self.write_holds[slice_]):
+                self.needs_planning = True
 
     def _pending_hold(self, slice_: Slice) -> list[ClearTable | SetAdmissionLevel]:
-        """Return the order that keeps writes from a slice, if it is due."""
+        """Return the orders that keep writes from a slice, if they are due.
+
+        First its writes are refused by their level, so that reads go on at the former owner until
+        that has to be withdrawn. Then the table is cleared, so that whoever reads the store after a
+        restart, which voids levels, finds nobody to send a write to.
+        """
         hold = self.write_holds.get(slice_)
-        if hold is None:
+        if hold is None or not self._is_table_held(slice_):
             return []
         unsettled = self.unsettled_orders
-        if hold.seal and not (unsettled.has_levels(slice_) or unsettled.is_cleared(slice_)):
+        is_sent = not (hold.is_due or unsettled.has_levels(slice_) or unsettled.is_cleared(slice_))
+        methods = tuple(range(len(self.settings.methods)))
+        is_kept = self._may_keep_owner(hold) and not has_no_active_entry(slice_.table)
+        if is_kept and not self._are_writes_over(hold):
+            methods = self.settings.write_methods
+            level = SetAdmissionLevel(methods, slice_, 0.0, RetryMode.NEVER_RAN)
+            return [] if is_sent else [level]
+        if is_sent and not slice_.table:
             return []
-        if self._clears_tables():
-            return [ClearTable(slice_)]
-        return [SetAdmissionLevel(self.settings.write_methods, slice_, 0.0, RetryMode.NEVER_RAN)]
+        # Clearing a table clears its levels, too.
+        levels = (
+            [SetAdmissionLevel(methods, slice_, 0.0, RetryMode.NEVER_RAN)]
+            if self._levels_act()
+            else []
+        )
+        return [ClearTable(slice_), *levels]
+
+    def _are_writes_over(self, hold: WriteHold) -> bool:
+        """Return whether no write is left at the former owner of a held slice."""
+        return hold.are_writes_over(self.now_ms, self.settings.max_write_ms)
 
     def _is_table_held(self, slice_: Slice) -> bool:
-        """Return whether the table of a slice has to stay empty for now."""
+        """Return whether no new owner may be named in the table of a slice yet.
+
+        All proxies must have confirmed that the table is empty, and the writes that they had sent
+        to the former owner must be over.
+        """
         hold = self.write_holds.get(slice_)
+        if hold is None or hold.is_ended:
+            return False
+        return bool(slice_.table or hold.unconfirmed) or not self._are_writes_over(hold)
+
+    def _may_keep_owner(self, hold: WriteHold) -> bool:
+        """Return whether reads may go on at the former owner while its writes are refused.
+
+        That takes one message more than to clear the table at once.
+        """
+        pushes_left = (self.settings.max_pushes_per_window or INFINITY) - len(
+            self.channel.push_times_ms
+        )
+        return self._levels_act() and (hold.seal > 0 or pushes_left >= HAND_OVER_MESSAGES)
+
+    def _is_withdrawal_deferred(self, backend: Backend) -> bool:
+        """Return whether a departing owner stays in use while writes of its slices are refused.
+
+        Reads go on there until the writes are over, or as long as the limit for withdrawals allows.
+        """
+        holds = [hold for slice_, hold in self.write_holds.items() if backend in slice_.table]
+        if not holds or not self.unsettled_orders.is_empty():
+            return False
+        if not all(map(self._may_keep_owner, holds)):
+            return False
+        began_at_ms = min(hold.started_at_ms for hold in holds)
+        return self.now_ms < began_at_ms + self._max_withdrawal_wait_ms() and not all(
+            map(self._are_writes_over, holds)
+        )
+
+    def _max_withdrawal_wait_ms(self) -> float:
+        """Return how long a withdrawal may wait and still be in force in time.
+
+        What is to be left are the time until the next decision, that of a message that clears all
+        tables, on a channel as slow as may be, and its way.
+        """
+        entries = self._message_overhead() + len(self.backends) + 2 * len(self.slices)
+        copies_ms = entries * self._receiver_count() / self.settings.channel_entries_per_ms
         return (
-            hold is not None
-            and self._clears_tables()
-            and not hold.is_over(self.now_ms, self.settings.max_write_ms)
+            self.settings.drain_grace_ms
+            - self._timer_delay_ms()
+            - MAX_CHANNEL_SLOWDOWN_FACTOR * copies_ms
+            - self.settings.max_transit_ms
         )
 
     def _restart_holds(self, orders: list[Order], seal: int) -> None:
         """Note the message that the proxies have to confirm, for the holds of slices in it."""
         last_write_ms = max(self.now_ms, self._last_write_ms())
+        unsettled = self.unsettled_orders
+        named = {order.slice: order.backend for order in orders if isinstance(order, SetEntry)}
+        changes: dict[tuple[HoldChange, str], list[int]] = {}
         for slice_ in dict.fromkeys(map(_slice_of, orders)):
             hold = self.write_holds.get(slice_) if slice_ else None
             if slice_ is None or hold is None:
                 continue
-            if self._clears_tables() and slice_.table:
-                # The hold was over, and the new owner is named.
+            owner = slice_.owner.name if slice_.owner else "nobody"
+            if slice_ in named:
                 del self.write_holds[slice_]
+                change = HoldChange.ENDED
             else:
-                hold.restart(seal, self.proxies, last_write_ms)
+                change = HoldChange.KEPT if slice_.table else HoldChange.CLEARED
+                if not hold.seal or not self._levels_act() or unsettled.has_levels(slice_):
+                    hold.stop_writes(seal, self.proxies, last_write_ms)
+                else:
+                    hold.await_confirmations(seal, self.proxies)
+            changes.setdefault((change, owner), []).append(slice_.number)
+        for (change, owner), numbers in changes.items():
+            self.other_orders.append(LogDecision(describe_hold(change, numbers, owner)))
 
     def _is_hold_unconfirmed(self) -> bool:
         """Return whether a hold lacks confirmations for so long that they are asked for again."""
@@ -1595,6 +1683,14 @@
             and any(hold.seal and hold.unconfirmed for hold in self.write_holds.values())
         )
 
+    def _log_unconfirmed_holds(self) -> None:
+        """Log which proxies lack, if holds wait for them."""
+        proxies = {p: None for hold in self.write_holds.values() for p in hold.unconfirmed}
+        if proxies:
+            names = describe_names([str(proxy.number) for proxy in proxies])
+            text = f"hold waits: {len(self.write_holds)} slices, for proxies {names}"
+            self.other_orders.append(LogDecision(text))
+
     def _must_ask_again(self, budget: ChannelBudget) -> bool:
         """Return whether a message that only asks for confirmations is due.
 
@@ -1621,9 +1717,12 @@
     def _is_bare(self, slice_: Slice) -> bool:
         """Return whether a slice's table has no active entry that is surely in force.
 
+        One whose writes are to be refused, and are not yet, is as urgent, and counts as such.
         The entry of a backend that just started counts only if it is desired: others may have left
         it all RPCs of the slice.
         """
+        if self._is_hold_due(slice_):
+            return True
         unsettled = self.unsettled_orders.entries(slice_)
         return all(
             b.is_withdrawn
@@ -1636,6 +1735,11 @@
             for b in slice_.table
         )
 
+    def _is_hold_due(self, slice_: Slice) -> bool:
+        """Return whether a slice's writes are to be held, and no message has said so yet."""
+        hold = self.write_holds.get(slice_)
+        return hold is not None and hold.is_due
+
     def _may_push(self) -> bool:
         """Return whether orders that can wait may go out now.
 
@@ -1692,7 +1796,10 @@
             self._add_deferrable_orders(orders, budget)
         self._log_readmissions(orders)
         self._add_bindings(orders)
-        if orders or self._must_ask_again(budget):
+        must_ask_again = not orders and self._must_ask_again(budget)
+        if must_ask_again:
+            self._log_unconfirmed_holds()
+        if orders or must_ask_again:
             orders.append(self._seal_message(orders))
         self._complete_moves()
         orders += self._due_requests()
@@ -1736,6 +1843,7 @@
         return sum(
             backend.phase is not Phase.READY
             and (not backend.is_withdrawn or self.unsettled_orders.has_withdrawal(backend))
+            and not self._is_withdrawal_deferred(backend)
             for backend in self.backends
         )
 
@@ -1888,7 +1996,10 @@
             and (backend.phase is not Phase.READY or self._is_open(backend))
             and self._must_withdraw(backend)
             for backend in self.backends
-        ) or any(has_no_active_entry(slice_.table) for slice_ in self.pending_slices)
+        ) or any(
+            has_no_active_entry(slice_.table) or self._is_hold_due(slice_)
+            for slice_ in self.pending_slices
+        )
 
     def _take_over_call(self, seal: int) -> None:
         """Drop a failed call: its orders are unsettled, and are given again as there is room."""
@@ -2161,10 +2272,10 @@
         self.last_seal = self.last_seal % MAX_SEAL + 1
         entries = self._message_entries(orders)
         self.channel.record_sent(self.last_seal, entries, self.proxies, self.now_ms)
+        self._restart_holds(orders, self.last_seal)
         self.unsettled_orders.discard(orders)
         self.last_call_orders = list(orders)
         self._watch_delivery(orders)
-        self._restart_holds(orders, self.last_seal)
         for slice_ in self.slices:
             if slice_.rpcs_shifted_at_ms == self.now_ms:
                 slice_.shift_seal = self.last_seal
@@ -2198,12 +2309,25 @@
         if self.now_ms >= self.follow_list_at_ms:
             self.follow_list_at_ms = INFINITY
             requests.append(FollowFleetList(True))
-        if self.now_ms >= self.next_wake_ms:
-            timer_delay_ms = min(self.settings.report_interval_ms, ROUND_INTERVAL_MS) / 2
-            self.next_wake_ms = self.now_ms + timer_delay_ms
-            requests.append(SetTimer(timer_delay_ms, 0))
+        wake_ms = min(self.now_ms + self._timer_delay_ms(), self._next_hold_end_ms())
+        if self.now_ms >= self.next_wake_ms or wake_ms < self.next_wake_ms:
+            self.next_wake_ms = wake_ms
+            requests.append(SetTimer(wake_ms - self.now_ms, 0))
         return requests
 
+    def _next_hold_end_ms(self) -> float:
+        """Return when the writes that a hold waits for are next over."""
+        ends_ms = [
+            hold.last_write_ms + self.settings.max_write_ms
+            for hold in self.write_holds.values()
+            if hold.seal and not hold.writers
+        ]
+        return min((end_ms for end_ms in ends_ms if end_ms > self.now_ms), default=INFINITY)
+
+    def _timer_delay_ms(self) -> float:
+        """Return the longest time between two decisions."""
+        return min(self.settings.report_interval_ms, ROUND_INTERVAL_MS) / 2
+
     def _must_withdraw(self, backend: Backend) -> bool:
         """Return whether a backend is to be withdrawn from the proxies.
 
@@ -2213,7 +2337,7 @@
         has no other desired backend in use.
         """
         if backend.phase is not Phase.READY:
-            return True
+            return not self._is_withdrawal_deferred(backend)
         if self._is_open(backend) and (
             self.now_ms >= backend.cold_until_ms
             or self._warm_up_share(backend) > WARM_UP_STEPS[0][1]
@@ -2288,16 +2412,25 @@
             slice_.rpcs_shifted_at_ms = (
                 self.now_ms if slice_.shifts_rpcs else slice_.rpcs_shifted_at_ms
             )
+            if slice_ in self.write_holds:
+                self.write_holds[slice_].is_due = False
             for order in slice_.pending_orders:
                 if isinstance(order, SetAdmissionLevel):
-                    slice_.admission_levels = self._admission_levels(slice_)
+                    is_closed = slice_ in self.write_holds and not slice_.table
+                    slice_.admission_levels = (
+                        (0.0, 0.0) if is_closed else self._admission_levels(slice_)
+                    )
                 elif isinstance(order, ClearTable):
                     slice_.table = {}
+                    if slice_ in self.write_holds:
+                        self.write_holds[slice_].unconfirmed = dict(self.proxies)
                 else:
                     slice_.table = {
                         **({} if self.settings.has_single_owner else slice_.table),
                         order.backend: order.weight,
                     }
+                    if slice_ in self.write_holds:
+                        self.write_holds[slice_].is_ended = True
             if self.settings.has_single_owner:
                 self.unsettled_orders.discard_entries(slice_)
             slice_.table = {b: weight for b, weight in slice_.table.items() if weight}
@@ -2330,9 +2463,10 @@
     def _pending_levels(self, slice_: Slice) -> list[SetAdmissionLevel]:
         """Return the orders that bring a slice's admission levels to the desired ones.
 
-        They leave out its writes while a hold of these has its own.
+        There are none while its writes are held.
         """
-        held_methods = self.settings.write_methods if slice_ in self.write_holds else ()
+        if self._is_table_held(slice_):
+            return []
         orders = []
         for methods, level, present_level in zip(
             self.methods_by_criticality,
@@ -2340,7 +2474,6 @@
             slice_.admission_levels,
             strict=False,
         ):
-            methods = tuple(method for method in methods if method not in held_methods)
             if methods and (level != present_level or self.unsettled_orders.has_levels(slice_)):
                 level = level if self.settings.admission_mode == "ratio" else ADMIT_ALL_LEVEL
                 orders.append(SetAdmissionLevel(methods, slice_, level, RetryMode.NEVER_RAN))
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -336,14 +336,14 @@
     "DoubtfulCalls": 1,
     "OrderTiming": 1,
     "OrderWait": 4,
-    "WriteHold": 3,
+    "WriteHold": 8,
 }
 OUTER_OBJECTS = {"b": 33, "s": 14, "p": 4}  # number of fields
 OUTER_STATE = (
     "dice soft ranks by_hand shares backends slices proxies dirty levels_due now fold_at round_at"
     " wake_at cool_until plan_worst follow_at untold untold_at joined_at horizon spans"
     " usual good fair stress let plan seal channel way said owed call unsettled doubtful holds"
-    " left_at departed_at list_at condition evidence broad_at timing deferred"
+    " left_at granted_at list_at condition evidence broad_at timing deferred"
 )
 
 
--- a/tests/play/stage.py
+++ b/tests/play/stage.py
@@ -216,6 +216,9 @@
                 table.pop(order.backend)
         elif isinstance(order, ClearTable):
             self.tables[order.slice] = {}
+            self.levels = {
+                key: one for key, one in self.levels.items() if key[0] is not order.slice
+            }
         elif isinstance(order, SetWithdrawn):
             for backends in (self.out, *self.told.values()):
                 (backends.add if order.is_withdrawn else backends.discard)(order.backend)
