--- a/lifthinge/lab/ownerworld.py
+++ b/lifthinge/lab/ownerworld.py
@@ -12,12 +12,15 @@
 import itertools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from enum import Enum
 from random import Random
 
 from lifthinge.interface import (
     Backend,
+    ChannelState,
     ClearTable,
     DecisionFault,
+    DropCall,
     Event,
     FleetNews,
     FleetNewsKind,
@@ -28,6 +31,7 @@
     Proxy,
     ProxyJoined,
     ProxyLeft,
+    RepeatCall,
     Seal,
     SealConfirmed,
     SetAdmissionLevel,
@@ -44,9 +48,19 @@
 from lifthinge.policy import Policy
 
 TICK_MS = 20.0
+# A call that brought no answer within this time has failed.
+ANSWER_DEADLINE_MS = 200.0
 WRITE, READ = 1, 0  # methods
 
 
+class CallFate(Enum):
+    """What becomes of a call to the relay."""
+
+    ANSWERED = "answered"
+    LOST = "lost"  # it was not carried out
+    ANSWER_LOST = "answer lost"  # it was
+
+
 @dataclass(frozen=True)
 class OwnerOptions:
     """Sizes and paces of a world; the defaults are those of the wire page's example."""
@@ -129,6 +143,9 @@
         self.writes: dict[int, dict[str, float]] = {n: {} for n in self.store}
         self.policy: Policy | None = None
         self.life = 0
+        self.channel_state = ChannelState(True)
+        self.next_call = CallFate.ANSWERED
+        self.lost_orders: list[Order] = []
         self.channel_free_at_ms = 0.0
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -161,6 +178,7 @@
         self.withdrawn = set()
         self.store_levels = {}
         self.channel_free_at_ms = self.now_ms
+        self.channel_state = ChannelState(True)
         phases = listed_phases or self.phases
         listings = [self._listing(name, phases[name]) for name in self.phases]
         for proxy in self.proxies:
@@ -292,16 +310,20 @@
     def _decide(self, events: list[Event]) -> None:
         if self.policy is None:
             return
-        orders = self.policy.decide(self.now_ms, events)
+        orders = self.policy.decide(self.now_ms, [self.channel_state, *events])
         for order in orders:
             if isinstance(order, DecisionFault):
                 raise RuntimeError(order.trace)
+            if isinstance(order, (DropCall, RepeatCall)):
+                self.channel_state = ChannelState(True)
+            if isinstance(order, RepeatCall):
+                self._carry_out(self.lost_orders)
             if isinstance(order, LogDecision):
                 self.decided.append(f"{self.now_ms:.0f} {order.text}")
             elif isinstance(order, SetTimer):
                 self._wake_later(order)
         if any(isinstance(order, Seal) for order in orders):
-            self._carry_out(orders)
+            self._call(orders)
 
     def _wake_later(self, order: SetTimer) -> None:
         life = self.life
@@ -312,6 +334,25 @@
 
         self.schedule(self.now_ms + order.delay_ms, due)
 
+    def _call(self, orders: list[Order]) -> None:
+        """Send a call to the relay, which may not get it, or whose answer may be lost."""
+        fate, self.next_call = self.next_call, CallFate.ANSWERED
+        if fate is not CallFate.LOST:
+            self._carry_out(orders)
+        if fate is CallFate.ANSWERED:
+            return
+        self.lost_orders = orders
+        self.channel_state = ChannelState(False)
+        life = self.life
+        seal = max(order.number for order in orders if isinstance(order, Seal))
+
+        def fail() -> None:
+            if self.life == life:
+                self.channel_state = ChannelState(False, seal)
+                self._decide([])
+
+        self.schedule(self.now_ms + ANSWER_DEADLINE_MS, fail)
+
     def _carry_out(self, orders: list[Order]) -> None:
         """Carry out a call: the store changes at once, the proxies get a message each in turn."""
         apply_orders(orders, self.store, self.store_levels, self.withdrawn)
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -210,6 +210,8 @@
 
 # Messages of a hand-over: writes are refused, the table is cleared, the new owner is named.
 HAND_OVER_MESSAGES = 3
+# A call without an answer has failed within this time, and its orders are given anew.
+FAILED_CALL_MS = 250.0
 
 # Admission. Stress is the mean latency as a fraction of the shortest soft deadline.
 
@@ -1335,10 +1337,13 @@
                 slice_.desired_shares = self._desired_shares(slice_, slice_.owner, warm_backends)
 
     def _restore_owners(self) -> None:
-        """Give held slices back to former owners that are ready again and still in the tables."""
+        """Give held slices back to former owners that are ready again and still in the tables.
+
+        One that has started anew is cold, and would be pushed over.
+        """
         for slice_ in list(self.write_holds):
             for backend in slice_.table:
-                is_back = backend.phase is Phase.READY and not backend.is_withdrawn
+                is_back = self._is_warm(backend) and not backend.is_withdrawn
                 if is_back and slice_.owner is not backend:
                     slice_.owner = backend
                     self._release_writes(slice_)
@@ -1639,14 +1644,16 @@
     def _max_withdrawal_wait_ms(self) -> float:
         """Return how long a withdrawal may wait and still be in force in time.
 
-        What is to be left are the time until the next decision, that of a message that clears all
-        tables, on a channel as slow as may be, and its way.
+        What is to be left are the time until the next decision, that of a call that brings no
+        answer, that of a message that clears all tables, on a channel as slow as may be, and its
+        way.
         """
         entries = self._message_overhead() + len(self.backends) + 2 * len(self.slices)
         copies_ms = entries * self._receiver_count() / self.settings.channel_entries_per_ms
         return (
             self.settings.drain_grace_ms
             - self._timer_delay_ms()
+            - FAILED_CALL_MS
             - MAX_CHANNEL_SLOWDOWN_FACTOR * copies_ms
             - self.settings.max_transit_ms
         )
--- a/tests/check_hand_over.py
+++ b/tests/check_hand_over.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from lifthinge.interface import Phase
-from lifthinge.lab.ownerworld import OwnerOptions, OwnerWorld
+from lifthinge.lab.ownerworld import CallFate, OwnerOptions, OwnerWorld
 
 DRAIN_MS, DISTURBED_MS, STEP_MS, SETTLE_MS = 3_000.0, 4_500.0, 50.0, 9_000.0
 LEAVING = ("s-0",)
@@ -61,6 +61,13 @@
     world.schedule(world.now_ms + 900.0, lambda: _restart(100.0)(world))
 
 
+def _lose_call(fate: CallFate) -> Callable[[OwnerWorld], None]:
+    def happen(world: OwnerWorld) -> None:
+        world.next_call = fate
+
+    return happen
+
+
 def _rejoin(world: OwnerWorld) -> None:
     world.leave(1)
     world.schedule(world.now_ms + 150.0, lambda: world.join(1))
@@ -111,6 +118,11 @@
     _check(Disturbance(_rejoin), Disturbance(_owner_returns), Disturbance(_new_owners_leave))
 
 
+# The call after a moment of the hand-over is not carried out, or its answer is lost: its orders come late, or twice.
+def check_lost_call_at_any_moment() -> None:
+    _check(Disturbance(_lose_call(CallFate.LOST)), Disturbance(_lose_call(CallFate.ANSWER_LOST)))
+
+
 # The table of an undisturbed hand-over is without an entry for no longer than rule 1 allows, whatever the levels say.
 def check_bare_for_no_longer_than_allowed() -> None:
     for seed in range(30):
