Fix: a member hands a document to a new front end only if a majority confirms it

Cause: a subscriber was taken on by what the member had applied itself, as long as a majority had been heard within two election times: for 1 to 3 s after a cut that is still so.

Change: a subscription is answered like the other reads, by the read index: a majority confirms the leader's commit index after the request came, and the member has applied that far.

Tests: `members cut_off_member_takes_nobody_on`.

--- a/lifthinge/cluster/member.py
+++ b/lifthinge/cluster/member.py
@@ -37,6 +37,12 @@
 MAX_REDIAL_DELAY_MS = 1_000.0
 REQUEST_TIMEOUT_MS = 8_000.0  # then a client is told that the outcome of its proposal is unknown
 READ_TIMEOUT_MS = 3_000.0  # covers the heartbeat round and the entries still to be applied
+# Requests that are answered from the applied state, once a majority has confirmed it as current.
+READ_REQUESTS = (
+    client_messages.GetVersion,
+    client_messages.ListVersions,
+    client_messages.Subscribe,
+)
 QUORUM_WINDOW_ELECTION_TIMEOUTS = 2.0  # without a majority for longer, the member reports it
 MAX_INBOUND_LINKS = 2_000
 MAX_PENDING_REQUESTS = 8_192  # of all links together
@@ -108,7 +114,7 @@
         self._pending_per_link: dict[Link, int] = {}
         self._pending_count = 0
         self._pending_proposals: dict[int, list[_PendingRequest]] = {}  # by log index
-        self._pending_reads: dict[_PendingRequest, client_messages.GetVersion] = {}
+        self._pending_reads: dict[_PendingRequest, client_messages.Request] = {}
         # Reads that wait until an index is applied: (index, token); -1 for a failed read.
         self._reads_awaiting_apply: list[tuple[int, object]] = []
         self._is_output_scheduled = False
@@ -335,6 +341,8 @@
             return
         if index < 0:
             self._answer(pending, Rejection("nobody leads who could say", **self._leader_fields()))
+        elif type(request) is client_messages.Subscribe:
+            self._subscribe(pending, request)
         elif type(request) is client_messages.ListVersions:
             later = [version for version in self.state.versions if version.version >= request.since]
             self._answer(
@@ -567,8 +575,8 @@
                 )
             )
             return
-        if type(request) is client_messages.Subscribe:
-            self._subscribe(pending, request)
+        if type(request) is client_messages.Subscribe and not self._is_current():
+            self._turn_away(pending)
             return
         if not self.ready:
             link.send(
@@ -578,12 +586,10 @@
         self._pending_per_link[link] = self._pending_per_link.get(link, 0) + 1
         self._pending_count += 1
         pending.deadline = self.runtime.deadlines.schedule(
-            READ_TIMEOUT_MS
-            if type(request) in (client_messages.GetVersion, client_messages.ListVersions)
-            else REQUEST_TIMEOUT_MS,
+            READ_TIMEOUT_MS if type(request) in READ_REQUESTS else REQUEST_TIMEOUT_MS,
             lambda: self._on_timeout(pending),
         )
-        if type(request) in (client_messages.GetVersion, client_messages.ListVersions):
+        if type(request) in READ_REQUESTS:
             self._pending_reads[pending] = request
             self._handle_raft_result(pending, self.raft.read(pending, self.runtime.now))
         elif type(request) is client_messages.TransferLeadership:
@@ -665,31 +671,31 @@
     # Subscribers: front ends that follow the agreed document.
 
     def _subscribe(self, pending: _PendingRequest, request: client_messages.Subscribe) -> None:
-        """Accept a subscriber if this member is current, and send it the latest document.
+        """Accept a subscriber once a majority has confirmed the applied state as current.
 
         A subscriber is never sent a document older than the one it holds.
         """
         latest = self.state.latest
-        if not self.ready or not self.in_touch or self.removed:
-            pending.link.send(
-                client_messages.encode(
-                    pending.number,
-                    Rejection(
-                        "no majority" if self.ready else "catching up", **self._leader_fields()
-                    ),
-                )
-            )
+        if not self._is_current():
+            self._answer(pending, self._not_current())
         elif latest is not None and (latest.term, latest.index) < request.held:
-            pending.link.send(
-                client_messages.encode(
-                    pending.number, Rejection("behind what you hold", **self._leader_fields())
-                )
-            )
-        else:
+            self._answer(pending, Rejection("behind what you hold", **self._leader_fields()))
+        elif not pending.link.is_closed:
             self._subscribers[pending.link] = pending.number
-            pending.link.send(
-                client_messages.encode(pending.number, client_messages.version_reply(latest))
-            )
+            self._answer(pending, client_messages.version_reply(latest))
+
+    def _is_current(self) -> bool:
+        """Return whether this member has caught up, and a majority was heard from recently."""
+        return self.ready and self.in_touch and not self.removed
+
+    def _not_current(self) -> Rejection:
+        """Return the rejection of a subscriber by a member that is not current."""
+        why = "no majority" if self.ready else "catching up"
+        return Rejection(why, **self._leader_fields())
+
+    def _turn_away(self, pending: _PendingRequest) -> None:
+        """Reject a subscriber at once, without a round to a majority."""
+        pending.link.send(client_messages.encode(pending.number, self._not_current()))
 
     def _publish_latest(self) -> None:
         """Send the latest document to all subscribers, unless they have it already."""
--- a/tests/check_members.py
+++ b/tests/check_members.py
@@ -262,6 +262,48 @@
     asyncio.run(asyncio.wait_for(play(), 60.0))
 
 
+# A member that is cut off handed a superseded document to new front ends, for as long as it had not noticed: here it never does.
+def check_cut_off_member_takes_nobody_on() -> None:
+    async def play() -> None:
+        trio, told = Trio(), []
+        await trio.start_all()
+        client = trio.client()
+        until = trio.runtime.now + 15_000.0
+        first = await client.propose({}, 0, "op", 1.0, until)
+        assert isinstance(first, Accepted) and first.version == 1, first
+        name = next(name for name, one in trio.servers.items() if one.raft.leader != name)
+        cut = trio.servers[name]
+        while cut.state.version < 1 or not cut.ready:
+            await trio.runtime.pause(10.0)
+        client.close()
+        hears, sends = cut.raft.step, cut._send_to_member
+        cut.raft.step = lambda *_: None
+        cut._send_to_member = lambda *_: None
+        cut._update_in_touch = lambda: None
+        assert cut.in_touch
+        rest = {other: where for other, where in trio.where.items() if other != name}
+        client = ClusterClient(trio.runtime, rest, "depots", "test", trio.keys)
+        second = await client.propose({"zones": []}, 1, "op", 2.0, trio.runtime.now + 15_000.0)
+        assert isinstance(second, Accepted) and second.version == 2, second
+        follower = DocumentFollower(
+            trio.runtime, {name: trio.where[name]}, "depots", "front", trio.keys, told.append
+        )
+        task = asyncio.create_task(follower.run())
+        while not trio.runtime.counters.get("agreed.turned_away"):
+            assert not told, f"it was handed version {told[0].version}"
+            await trio.runtime.pause(10.0)
+        cut.raft.step, cut._send_to_member = hears, sends
+        while not told:
+            await trio.runtime.pause(10.0)
+        assert [one.version for one in told] == [2], told
+        task.cancel()
+        client.close()
+        await trio.stop()
+        assert not trio.failed, trio.failed
+
+    asyncio.run(asyncio.wait_for(play(), 60.0))
+
+
 def check_document_reaches_decisions() -> None:
     """What is agreed comes to the controller as `OperatorOverrides`, in its own objects, and `until` ends it by itself."""
     from types import SimpleNamespace
