Tests: a soak of hand-overs between single owners; hold lines name the former owner

Need: the operators' own runs use other sizes, times and paces than the plays at each moment of one hand-over.

`hold` lines say from whom a slice is handed over, too.

--- a/lifthinge/decision_log.py
+++ b/lifthinge/decision_log.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from lifthinge.channel_budget import ChannelBudget
+from lifthinge.interface import Backend
 from lifthinge.order_timing import MessageSlack
 
 # A line names this many backends at most.
@@ -18,14 +19,19 @@
     ENDED = "the new owner is named"
 
 
-def describe_hold(change: HoldChange, slices: Sequence[int], owner: str) -> str:
-    """Return the slices of a step of a hand-over, and who is to own them after it.
+def describe_hold(
+    change: HoldChange, slices: Sequence[int], former: Backend | None, owner: Backend | None
+) -> str:
+    """Return the slices of a step of a hand-over, whose they were and who is to own them.
 
-    >>> describe_hold(HoldChange.CLEARED, [4, 7], "s-b")
-    'hold of slices 4, 7 for s-b: the table is cleared'
+    >>> describe_hold(HoldChange.CLEARED, [4, 7], Backend("a", "s-a"), Backend("b", "s-b"))
+    'hold of slices 4, 7 from s-a to s-b: the table is cleared'
+    >>> describe_hold(HoldChange.ENDED, [4], None, Backend("b", "s-b"))
+    'hold of slices 4 from nobody to s-b: the new owner is named'
     """
     numbers = describe_names([str(number) for number in slices])
-    return f"hold of slices {numbers} for {owner}: {change.value}"
+    names = [backend.name if backend else "nobody" for backend in (former, owner)]
+    return f"hold of slices {numbers} from {names[0]} to {names[1]}: {change.value}"
 
 
 def describe_names(names: Sequence[str]) -> str:
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -1554,7 +1554,10 @@
         if self.settings.has_single_owner and self.settings.write_methods:
             hold = self.write_holds.get(slice_)
             if hold is None or hold.is_ended:
-                self.write_holds[slice_] = WriteHold(started_at_ms=self.now_ms)
+                former_owner = next(iter(slice_.table), None)
+                self.write_holds[slice_] = WriteHold(
+                    started_at_ms=self.now_ms, former_owner=former_owner
+                )
 
     def _release_writes(self, slice_: Slice) -> None:
         """End the hold of a slice whose former owner is ready again and keeps it."""
@@ -1663,12 +1666,11 @@
         last_write_ms = max(self.now_ms, self._last_write_ms())
         unsettled = self.unsettled_orders
         named = {order.slice: order.backend for order in orders if isinstance(order, SetEntry)}
-        changes: dict[tuple[HoldChange, str], list[int]] = {}
+        changes: dict[tuple[HoldChange, Backend | None, Backend | None], list[int]] = {}
         for slice_ in dict.fromkeys(map(_slice_of, orders)):
             hold = self.write_holds.get(slice_) if slice_ else None
             if slice_ is None or hold is None:
                 continue
-            owner = slice_.owner.name if slice_.owner else "nobody"
             if slice_ in named:
                 del self.write_holds[slice_]
                 change = HoldChange.ENDED
@@ -1678,9 +1680,11 @@
                     hold.stop_writes(seal, self.proxies, last_write_ms)
                 else:
                     hold.await_confirmations(seal, self.proxies)
-            changes.setdefault((change, owner), []).append(slice_.number)
-        for (change, owner), numbers in changes.items():
-            self.other_orders.append(LogDecision(describe_hold(change, numbers, owner)))
+            key = change, hold.former_owner, slice_.owner
+            changes.setdefault(key, []).append(slice_.number)
+        for (change, former_owner, owner), numbers in changes.items():
+            text = describe_hold(change, numbers, former_owner, owner)
+            self.other_orders.append(LogDecision(text))
 
     def _is_hold_unconfirmed(self) -> bool:
         """Return whether a hold lacks confirmations for so long that they are asked for again."""
--- a/lifthinge/write_holds.py
+++ b/lifthinge/write_holds.py
@@ -33,7 +33,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from lifthinge.interface import Proxy
+from lifthinge.interface import Backend, Proxy
 
 # Seal numbers start over at 1 after this one.
 MAX_SEAL = 65_000
@@ -55,6 +55,7 @@
     # When a proxy may last have sent a write to the former owner.
     last_write_ms: float = float("-inf")
     started_at_ms: float = 0.0
+    former_owner: Backend | None = None  # None: the table was empty
     is_due: bool = True  # whether the orders of its first step are still to be given
     is_ended: bool = False  # whether this decision names the new owner
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -26,6 +26,7 @@
     check_store,
     soak_channel,
     soak_fleet,
+    soak_hand_over,
     soak_scarce_channel,
 )
 from tests.play.cluster import ClusterStage
@@ -110,6 +111,7 @@
     **{f"decisions {name}": check for name, check in check_decisions.CHECKS.items()},
     **{f"decisions {name}": check for name, check in check_event_orders.CHECKS.items()},
     **{f"hand-over {name}": check for name, check in check_hand_over.CHECKS.items()},
+    "hand-over soak": soak_hand_over.check_soak,
     "fleet soak": soak_fleet.check_soak,
     "fleet channel_soak": soak_channel.check_soak,
     "fleet scarce_channel_soak": soak_scarce_channel.check_soak,
