Fix: events that raise each time no longer hold up the others; one retry at a time

While every report raised, each held up all that came behind it for a decision: the events that waited grew without bound, and no order was given.

Change: only the first event that raises holds up those behind it. In the decision after it those that raise are left alone, the rest is taken in and orders are given; what raises again is dropped and named. A retry is planned only if none is.

--- a/lifthinge/outer_names.py
+++ b/lifthinge/outer_names.py
@@ -159,7 +159,7 @@
     " doubtful=doubtful_calls holds=write_holds left_at=last_proxy_left_ms"
     " granted_at=last_grant_ms list_at=last_list_at_ms condition=channel_condition"
     " evidence=delivery_evidence broad_at=broad_trouble_at_ms timing=order_timing"
-    " deferred=deferred_events"
+    " raised=raised_events deferred=deferred_events"
 )
 _OUTER_NAMES: dict[type, str] = {
     **{kind.type: name for name, kind in KINDS.items()},
--- a/lifthinge/policy.py
+++ b/lifthinge/policy.py
@@ -332,7 +332,8 @@
         self.other_orders: list[Order] = []
         # Slices with pending orders, the most important first.
         self.pending_slices: list[Slice] = []
-        # Events of the last batch from the one on that could not be taken in.
+        # Events that raised when they were taken in, and those behind them that wait.
+        self.raised_events: list[Event] = []
         self.deferred_events: list[Event] = []
         if not settings.sliced:
             self.slices[Slice(0, is_leased=True)] = None
@@ -372,25 +373,32 @@
         return True
 
     def _take_in(self, events: Iterable[Event]) -> bool:
-        """Take in the events deferred by the last decision and those of a batch, in their order.
+        """Take in the events left by the last decision and those of a batch, in their order.
 
-        At one that raises, it and all after it are deferred, as they may rest on it. One that
-        raises again is dropped. Return whether none was deferred.
+        At the first one that raises, it and all after it are left for the next decision, as they
+        may rest on it. There, those that raise for the first time are left alone, so that it can
+        be decided at last, and those that raise again are dropped. Return whether to decide now.
         """
-        was_deferred = bool(self.deferred_events)
-        pending = [*self.deferred_events, *events]
-        self.deferred_events = []
+        repeated, pending = self.raised_events, [*self.deferred_events, *events]
+        self.raised_events, self.deferred_events = [], []
+        for event in repeated:
+            if not self._handle(event):
+                text = f"dropped {type(event).__name__}: it could not be taken in twice"
+                self.other_orders.append(LogDecision(text))
         for index, event in enumerate(pending):
-            handler = self.event_handlers.get(type(event), lambda _: None)
-            if self._run_part(event_part(event), lambda: handler(event)):  # noqa: B023
+            if self._handle(event):
                 continue
-            if index > 0 or not was_deferred:
-                self.deferred_events = pending[index:]
+            self.raised_events.append(event)
+            if not repeated:
+                self.deferred_events = pending[index + 1 :]
                 return False
-            text = f"dropped {type(event).__name__}: it could not be taken in twice"
-            self.other_orders.append(LogDecision(text))
         return True
 
+    def _handle(self, event: Event) -> bool:
+        """Take in one event; return whether it did not raise."""
+        handler = self.event_handlers.get(type(event), lambda _: None)
+        return self._run_part(event_part(event), lambda: handler(event))
+
     def _withhold(self, orders: list[Order], former_seal: int) -> None:
         """Have orders given anew that this decision can't give, as if their call had failed."""
         if self.last_seal != former_seal:
--- a/lifthinge/service/controller.py
+++ b/lifthinge/service/controller.py
@@ -148,6 +148,7 @@
         self._is_discovery_overdue = False  # whether MAX_DISCOVERY_WAIT_MS have passed
         self._is_turn_scheduled = False
         self._events: list[Event] = []
+        self._is_retry_scheduled = False  # whether it is decided again soon, after a failure
         # Events of the last decision, if it failed as a whole.
         self._deferred_events: list[Event] = []
         self._tasks: dict[asyncio.Task, str] = {}  # task -> its name
@@ -331,7 +332,14 @@
         )
         self.runtime.counters.add("decision_failed")
         self.is_ready = False
-        self.runtime.deadlines.schedule(DECISION_RETRY_DELAY_MS, lambda: self.publish([]))
+        if not self._is_retry_scheduled:
+            self._is_retry_scheduled = True
+            self.runtime.deadlines.schedule(DECISION_RETRY_DELAY_MS, self._decide_again)
+
+    def _decide_again(self) -> None:
+        """Have it decided again after a part of a decision raised."""
+        self._is_retry_scheduled = False
+        self.publish([])
 
     def _defer(self, events: list[Event]) -> None:
         """Keep the events of a decision that failed as a whole for the next one.
--- a/tests/check_capture.py
+++ b/tests/check_capture.py
@@ -343,7 +343,7 @@
     "dice soft ranks by_hand shares backends slices proxies dirty levels_due now fold_at round_at"
     " wake_at cool_until plan_worst follow_at untold untold_at joined_at horizon spans"
     " usual good fair stress let plan seal channel way said owed call unsettled doubtful holds"
-    " left_at granted_at list_at condition evidence broad_at timing deferred"
+    " left_at granted_at list_at condition evidence broad_at timing raised deferred"
 )
 
 
--- a/tests/check_decisions.py
+++ b/tests/check_decisions.py
@@ -22,6 +22,7 @@
     Phase,
     Proxy,
     ProxyJoined,
+    SetWithdrawn,
     Slice,
     SliceHeatReport,
     SliceLeaseChanged,
@@ -130,6 +131,30 @@
     return [words[words.index("to") + 1] for words in texts if words[0] == "move"]
 
 
+# Events that raise each time held up the others, and all orders: they are repeated once, and the rest goes on.
+def check_events_that_always_raise() -> None:
+    fleet, now_ms, withdrawn = Fleet(), 0.0, []
+
+    def fail(_: Event) -> None:
+        raise ArithmeticError("each time")
+
+    fleet.policy.event_handlers[AttemptReport] = fail
+    drain = FleetNews(
+        FleetNewsKind.DELTA, [Listing(fleet.backends[1], 1, 0, Phase.DRAINING, 0.0, 1.0)]
+    )
+    while now_ms < GIVEN_UNTIL_MS:
+        now_ms += TURN_MS
+        is_drained = now_ms <= SLOW_FROM_MS < now_ms + TURN_MS
+        fleet.next_report_ms = now_ms  # reports come in each turn
+        events = [*fleet.reports(now_ms), *([drain] if is_drained else [])]
+        orders = fleet.policy.decide(now_ms, events)
+        withdrawn += [now_ms for order in orders if isinstance(order, SetWithdrawn)]
+        assert (
+            len(fleet.policy.deferred_events + fleet.policy.raised_events) <= BACKENDS + SLICES + 1
+        )
+    assert withdrawn and withdrawn[0] <= SLOW_FROM_MS + 2 * TURN_MS, withdrawn
+
+
 # A value that may be absent was taken for a number: the type checker finds each such line of the decision modules.
 def check_types() -> None:
     modules = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
@@ -194,7 +219,7 @@
         assert slice_.table == stage.tables[slice_], f"table of slice {slice_.number}"
         assert any(b not in stage.out for b in slice_.table), f"slice {slice_.number} is bare"
         assert stage.levels.get((slice_, 1), 1.0) > 0, f"writes of slice {slice_.number} are held"
-    assert not stage.policy.deferred_events, "events wait"
+    assert not stage.policy.deferred_events + stage.policy.raised_events, "events wait"
 
 
 # A part of a decision raised: the events after it, and the orders of its turn, never came to the proxies.
@@ -203,7 +228,7 @@
     names = [name for name, one in vars(Policy).items() if callable(one) and name[:2] != "__"]
     for play in RAISING_PLAYS:
         for name in names:
-            if name in ("decide", "_run_part", "_take_in", "_withhold", "_give_anew"):
+            if name in ("decide", "_run_part", "_take_in", "_handle", "_withhold", "_give_anew"):
                 continue
             for call, is_after in product(DISTURBED_CALLS, (False, True)):
                 stage = _play_raising(play, name, call, is_after)
